--- /dev/null
+++ b/core/ident/ident.go
@@ -0,0 +1,115 @@
+// Package ident holds the named types for identities and units that all other packages share.
+package ident
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// HostID names an entry host; it is unique within one deployment.
+type HostID string
+
+// DomainID names a failure domain.
+type DomainID string
+
+// EndpointID names an endpoint (an engine replica or a plain service replica).
+type EndpointID string
+
+// Workspace names a tenant whose requests share weight and limits.
+type Workspace string
+
+// Adapter names a LoRA adapter, without its version.
+type Adapter string
+
+// Version names one version of an adapter.
+type Version string
+
+// Service names a plain service that requests are routed to.
+type Service string
+
+// Index is a position in the replicated log; the first entry has index 1.
+type Index uint64
+
+// Term is an election term; it only rises.
+type Term uint64
+
+// Fence is a fencing number; a larger one supersedes a smaller one.
+type Fence uint64
+
+// Incarnation tells two runs of the same host or endpoint apart.
+type Incarnation uint64
+
+// RowVersion is the log index of the edit that wrote a row; 0 means that the row does not exist.
+type RowVersion uint64
+
+// EditID identifies one operator edit; a resent edit carries the same id.
+type EditID string
+
+// Key is the Idempotency-Key of a request that must run at most once.
+type Key string
+
+// Time is a reading of one host's monotonic clock in nanoseconds; readings of two hosts do not compare.
+type Time int64
+
+// Add returns the reading d later.
+func (t Time) Add(d time.Duration) Time { return t + Time(d) }
+
+// Sub returns the duration since earlier.
+func (t Time) Sub(earlier Time) time.Duration { return time.Duration(t - earlier) }
+
+// Model is an adapter at one version, as a request names it.
+type Model struct {
+	Adapter Adapter `json:"adapter"`
+	Version Version `json:"version"`
+}
+
+// String returns the form "adapter@version".
+func (m Model) String() string { return string(m.Adapter) + "@" + string(m.Version) }
+
+// ParseModel reads the form "adapter@version".
+func ParseModel(s string) (Model, error) {
+	name, version, found := strings.Cut(s, "@")
+	if !found || name == "" || version == "" || strings.Contains(version, "@") {
+		return Model{}, fmt.Errorf("model %q: want adapter@version", s)
+	}
+	return Model{Adapter: Adapter(name), Version: Version(version)}, nil
+}
+
+// RequestID identifies one request across hosts and host restarts.
+type RequestID struct {
+	Host        HostID      `json:"host"`
+	Incarnation Incarnation `json:"incarnation"`
+	Seq         uint64      `json:"seq"`
+}
+
+// String returns the form "host.incarnation.seq" with hexadecimal numbers.
+func (r RequestID) String() string {
+	return fmt.Sprintf("%s.%x.%x", r.Host, uint64(r.Incarnation), r.Seq)
+}
+
+// ParseRequestID reads the form that String writes.
+func ParseRequestID(s string) (RequestID, error) {
+	parts := strings.Split(s, ".")
+	if len(parts) != 3 || parts[0] == "" {
+		return RequestID{}, fmt.Errorf("request id %q: want host.incarnation.seq", s)
+	}
+	id := RequestID{Host: HostID(parts[0])}
+	if _, err := fmt.Sscanf(parts[1]+" "+parts[2], "%x %x", &id.Incarnation, &id.Seq); err != nil {
+		return RequestID{}, fmt.Errorf("request id %q: %w", s, err)
+	}
+	return id, nil
+}
+
+// StepError is an error that names the step and the peer at which it arose.
+type StepError struct {
+	Step string
+	Peer string
+	Err  error
+}
+
+// Error returns "step peer: cause".
+func (e *StepError) Error() string { return fmt.Sprintf("%s %s: %v", e.Step, e.Peer, e.Err) }
+
+// Unwrap returns the cause.
+func (e *StepError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/core/lease/owners.go
@@ -0,0 +1,107 @@
+// Package lease decides which entry host owns each endpoint, and for how long a host may serve.
+//
+// Ownership is replicated state with a fencing number; permission to act on it is a lease that each host
+// renews with the leader. One lease covers all endpoints of a host.
+package lease
+
+import (
+	"shallotgap/core/ident"
+	"shallotgap/core/table"
+)
+
+// Kind tells what an endpoint runs.
+type Kind string
+
+// The kinds of endpoints.
+const (
+	Engine Kind = "engine" // a model engine with adapter slots
+	Plain  Kind = "plain"  // a plain HTTP service
+)
+
+// Endpoint is what an endpoint announces of itself.
+type Endpoint struct {
+	ID     ident.EndpointID `json:"id"`
+	Kind   Kind             `json:"kind"`
+	URL    string           `json:"url"`
+	Domain ident.DomainID   `json:"domain"`
+	// Service names the plain service, or the base model of an engine.
+	Service ident.Service `json:"service"`
+	// Slots is the number of adapters that an engine holds at once.
+	Slots int `json:"slots,omitempty"`
+	// MaxRunning is the largest batch, or the number of calls that a plain service takes at once.
+	MaxRunning int `json:"max-running"`
+	// Instance is the start identity; it changes with every restart of the endpoint.
+	Instance ident.Incarnation `json:"instance"`
+	// ChecksFence is true when the endpoint refuses orders with an old fencing number.
+	ChecksFence bool `json:"checks-fence,omitempty"`
+	// Leaving is true once the endpoint shuts down gracefully; it takes no new work.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Owned is an endpoint with its owner.
+type Owned struct {
+	Endpoint
+	Owner ident.HostID `json:"owner,omitempty"`
+	Fence ident.Fence  `json:"fence,omitempty"`
+}
+
+// Assign gives an endpoint to a host; the fencing number is the log index of the command.
+type Assign struct {
+	Endpoint ident.EndpointID `json:"endpoint"`
+	Owner    ident.HostID     `json:"owner"`
+	// From is the fencing number that the assignment replaces; another one voids it.
+	From ident.Fence `json:"from"`
+}
+
+// Owners is the deterministic state machine of endpoint ownership.
+type Owners struct {
+	endpoints *table.Table[ident.EndpointID, Owned]
+}
+
+// NewOwners returns an empty state.
+func NewOwners() *Owners { return &Owners{endpoints: table.New[ident.EndpointID, Owned]()} }
+
+// Get returns an endpoint and whether it is known.
+func (o *Owners) Get(id ident.EndpointID) (Owned, bool) { return o.endpoints.Get(id) }
+
+// List returns all endpoints in order.
+func (o *Owners) List() []Owned {
+	list := make([]Owned, 0, o.endpoints.Len())
+	for _, e := range o.endpoints.All() {
+		list = append(list, e)
+	}
+	return list
+}
+
+// Announce stores what an endpoint says of itself, keeping its owner.
+func (o *Owners) Announce(e Endpoint) {
+	old, _ := o.endpoints.Get(e.ID)
+	o.endpoints.Put(e.ID, Owned{Endpoint: e, Owner: old.Owner, Fence: old.Fence})
+}
+
+// Depart forgets an endpoint that has left, unless a newer instance was announced.
+func (o *Owners) Depart(id ident.EndpointID, instance ident.Incarnation) {
+	if e, ok := o.endpoints.Get(id); ok && e.Instance == instance {
+		o.endpoints.Delete(id)
+	}
+}
+
+// Assign puts an assignment in force at log position i.
+func (o *Owners) Assign(i ident.Index, a Assign) {
+	e, ok := o.endpoints.Get(a.Endpoint)
+	if !ok || e.Fence != a.From {
+		return
+	}
+	e.Owner = a.Owner
+	e.Fence = ident.Fence(i)
+	o.endpoints.Put(a.Endpoint, e)
+}
+
+// RestoreOwners returns the state that List was taken from.
+func RestoreOwners(list []Owned) *Owners {
+	o := NewOwners()
+	for _, e := range list {
+		o.endpoints.Put(e.ID, e)
+	}
+	return o
+}
--- /dev/null
+++ b/core/place/budget.go
@@ -0,0 +1,93 @@
+package place
+
+import (
+	"slices"
+	"time"
+
+	"shallotgap/core/ident"
+)
+
+// Want is a wish to load an adapter, sent by an owner to the leader.
+type Want struct {
+	Endpoint ident.EndpointID `json:"endpoint"`
+	Model    ident.Model      `json:"model"`
+	// Waiting is the number of requests that wait for the load.
+	Waiting int `json:"waiting"`
+}
+
+// Grant allows one load. It must start within GrantLife.
+type Grant struct {
+	Endpoint ident.EndpointID `json:"endpoint"`
+	Model    ident.Model      `json:"model"`
+}
+
+// GrantLife is how long a granted load counts against the store's budget when its end is not reported.
+const GrantLife = 10 * time.Second
+
+// Budget is the leader's account of the weight store: loads a second and loads in flight over all engines.
+type Budget struct {
+	Rate     float64 // loads a second
+	InFlight int     // loads at once
+	wants    []owned
+	flying   []flight
+	tokens   float64
+	filled   ident.Time
+}
+
+type owned struct {
+	Want
+	host ident.HostID
+}
+
+type flight struct {
+	Grant
+	host ident.HostID
+	at   ident.Time
+}
+
+// Granted is a grant and the host that it goes to.
+type Granted struct {
+	Grant
+	Host ident.HostID
+}
+
+// SetWants replaces the wishes of a host.
+func (b *Budget) SetWants(h ident.HostID, wants []Want) {
+	b.wants = slices.DeleteFunc(b.wants, func(o owned) bool { return o.host == h })
+	for _, w := range wants {
+		b.wants = append(b.wants, owned{Want: w, host: h})
+	}
+}
+
+// Done ends a load and frees its place in flight.
+func (b *Budget) Done(g Grant) {
+	b.flying = slices.DeleteFunc(b.flying, func(f flight) bool { return f.Grant == g })
+}
+
+// Forget drops the wishes and loads of a host that is gone.
+func (b *Budget) Forget(h ident.HostID) {
+	b.SetWants(h, nil)
+	b.flying = slices.DeleteFunc(b.flying, func(f flight) bool { return f.host == h })
+}
+
+// Spend grants as many loads as the budget allows at now, those with most waiting requests first.
+func (b *Budget) Spend(now ident.Time) []Granted {
+	b.refill(now)
+	b.flying = slices.DeleteFunc(b.flying, func(f flight) bool { return now.Sub(f.at) > GrantLife })
+	slices.SortStableFunc(b.wants, func(x, y owned) int { return y.Waiting - x.Waiting })
+	var list []Granted
+	for len(b.wants) > 0 && b.tokens >= 1 && len(b.flying) < b.InFlight {
+		w := b.wants[0]
+		b.wants = b.wants[1:]
+		g := Grant{Endpoint: w.Endpoint, Model: w.Model}
+		b.tokens--
+		b.flying = append(b.flying, flight{Grant: g, host: w.host, at: now})
+		list = append(list, Granted{Grant: g, Host: w.host})
+	}
+	return list
+}
+
+func (b *Budget) refill(now ident.Time) {
+	b.tokens = min(max(1, b.Rate), b.tokens+now.Sub(b.filled).Seconds()*b.Rate)
+	b.filled = now
+}
--- /dev/null
+++ b/core/quorum/node.go
@@ -0,0 +1,200 @@
+package quorum
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"shallotgap/core/ident"
+)
+
+// Role is what a node does in its term.
+type Role uint8
+
+// The roles of a node.
+const (
+	Follower Role = iota
+	Candidate
+	Leader
+)
+
+// ErrNotLeader is returned for a proposal to a node that does not lead.
+var ErrNotLeader = errors.New("propose: this host is not the leader")
+
+// ErrPending is returned for a membership change while another one is not committed.
+var ErrPending = errors.New("propose: another membership change is under way")
+
+// Settings are the node's parameters.
+type Settings struct {
+	Self ident.HostID
+	Disk DiskID
+	// Founders are the hosts that form the first membership once all of them report an empty disk.
+	Founders  []ident.HostID
+	Heartbeat time.Duration
+	// Election is the shortest election timeout; the longest is twice that.
+	Election time.Duration
+	// MaxBatch bounds the entries of one append message.
+	MaxBatch int
+	Rand     *rand.Rand
+}
+
+// progress is what a leader knows of one member.
+type progress struct {
+	match ident.Index
+	next  ident.Index
+	heard ident.Time
+}
+
+// Node is one member of the replicated log.
+type Node struct {
+	Settings
+	log      *Log
+	hard     Hard
+	role     Role
+	leader   ident.HostID
+	members  Members
+	configAt ident.Index
+
+	now       ident.Time
+	electAt   ident.Time
+	beatAt    ident.Time
+	heardLead ident.Time
+	preVote   bool
+	votes     map[ident.HostID]bool
+	peers     map[Member]*progress
+	hellos    map[ident.HostID]DiskID
+
+	hardDirty bool
+	snapDirty bool
+	unstable  ident.Index // first index not yet handed out for writing; 0 for none
+	messages  []Message
+	applied   ident.Index
+}
+
+// New returns a node that continues from what the disk held at the clock reading now.
+func New(s Settings, l *Log, h Hard, now ident.Time) *Node {
+	n := &Node{Settings: s, log: l, hard: h, now: now, applied: l.snap.Index, hellos: map[ident.HostID]DiskID{}}
+	n.members, n.configAt = l.members()
+	n.resetElection()
+	return n
+}
+
+// Leader returns the host that leads as far as this node knows, and the term.
+func (n *Node) Leader() (ident.HostID, ident.Term) { return n.leader, n.hard.Term }
+
+// Role returns what the node does in its term.
+func (n *Node) Role() Role { return n.role }
+
+// Members returns the membership in force and the index of its entry.
+func (n *Node) Members() (Members, ident.Index) { return n.members, n.configAt }
+
+// Commit returns the last index known to be held by a majority.
+func (n *Node) Commit() ident.Index { return n.log.commit }
+
+// Ready is what the node wants written and sent.
+type Ready struct {
+	// Hard, Snapshot and Entries must be durable before Messages leave. Entries replace all from their first index on.
+	Hard     *Hard
+	Snapshot *Snapshot
+	Entries  []Entry
+	Messages []Message
+	// Committed are the entries to apply, in order; after Install, Restore is set and comes first.
+	Committed []Entry
+	Restore   *Snapshot
+}
+
+// Empty reports whether there is nothing to do.
+func (r Ready) Empty() bool { return !r.Writes() && len(r.Messages) == 0 && len(r.Committed) == 0 }
+
+// Writes reports whether something must become durable.
+func (r Ready) Writes() bool { return r.Hard != nil || r.Snapshot != nil || len(r.Entries) > 0 }
+
+// Ready returns the pending work and hands it over to the caller.
+func (n *Node) Ready() Ready {
+	r := Ready{Messages: n.messages}
+	n.messages = nil
+	if n.hardDirty {
+		hard := n.hard
+		r.Hard = &hard
+		n.hardDirty = false
+	}
+	if n.snapDirty {
+		snap := n.log.snap
+		r.Snapshot = &snap
+		r.Restore = &snap
+		n.applied = snap.Index
+		n.snapDirty = false
+	}
+	if n.unstable != 0 {
+		r.Entries = append(r.Entries, n.log.slice(max(n.unstable-1, n.log.snap.Index), len(n.log.entries))...)
+		n.unstable = 0
+	}
+	r.Committed = n.takeCommitted()
+	return r
+}
+
+func (n *Node) takeCommitted() []Entry {
+	end := min(n.log.commit, n.log.stable)
+	if end <= n.applied {
+		return nil
+	}
+	list := append([]Entry(nil), n.log.slice(n.applied, int(end-n.applied))...)
+	n.applied = end
+	return list
+}
+
+// Stable tells the node that the log up to index, of the given term there, is durable.
+func (n *Node) Stable(index ident.Index, term ident.Term) {
+	if own, ok := n.log.term(index); !ok || own != term {
+		return
+	}
+	n.log.stable = max(n.log.stable, index)
+	if n.role == Leader {
+		n.advanceCommit()
+	}
+}
+
+// Compact replaces the log up to the applied index by a snapshot of the state machine.
+// The caller writes the returned snapshot to disk.
+func (n *Node) Compact(index ident.Index, data []byte) (Snapshot, bool) {
+	term, ok := n.log.term(index)
+	if !ok || index > n.applied || index <= n.log.snap.Index {
+		return Snapshot{}, false
+	}
+	s := Snapshot{Index: index, Term: term, Members: n.membersAt(index), Data: data}
+	n.log.compact(s)
+	return s, true
+}
+
+// Length returns the number of entries after the snapshot.
+func (n *Node) Length() int { return len(n.log.entries) }
+
+func (n *Node) membersAt(i ident.Index) Members {
+	members := n.log.snap.Members
+	for _, e := range n.log.entries {
+		if e.Index > i {
+			break
+		}
+		if e.Kind == Config {
+			members = e.Members
+		}
+	}
+	return members
+}
+
+func (n *Node) self() Member {
+	m, ok := n.members.Find(n.Self, n.Disk)
+	if !ok {
+		return Member{Host: n.Self, Disk: n.Disk}
+	}
+	return m
+}
+
+func (n *Node) send(m Message) {
+	m.From = n.Self
+	m.Disk = n.Disk
+	if m.Term == 0 {
+		m.Term = n.hard.Term
+	}
+	n.messages = append(n.messages, m)
+}
--- /dev/null
+++ b/core/state/state.go
@@ -0,0 +1,131 @@
+// Package state is the replicated state machine: the operators' table, endpoint ownership, planned stops, claims.
+package state
+
+import (
+	"shallotgap/core/claim"
+	"shallotgap/core/drain"
+	"shallotgap/core/ident"
+	"shallotgap/core/lease"
+	"shallotgap/core/rows"
+)
+
+// Command is one log entry's content; exactly one field is set, besides Wall.
+type Command struct {
+	// Wall is the proposing leader's wall clock in Unix seconds, so that all replicas expire alike.
+	Wall     int64           `json:"wall,omitempty"`
+	Edit     *rows.Edit      `json:"edit,omitempty"`
+	Announce *lease.Endpoint `json:"announce,omitempty"`
+	Depart   *Depart         `json:"depart,omitempty"`
+	Assign   *lease.Assign   `json:"assign,omitempty"`
+	Mark     *drain.Mark     `json:"mark,omitempty"`
+	Progress *drain.Progress `json:"progress,omitempty"`
+	Open     *claim.Open     `json:"open,omitempty"`
+	Close    *claim.Close    `json:"close,omitempty"`
+	Abandon  *claim.Abandon  `json:"abandon,omitempty"`
+}
+
+// Depart forgets an endpoint instance.
+type Depart struct {
+	Endpoint ident.EndpointID  `json:"endpoint"`
+	Instance ident.Incarnation `json:"instance"`
+}
+
+// Public reports whether entry hosts without a data folder receive the command; claims stay with the voters.
+func (c Command) Public() bool { return c.Open == nil && c.Close == nil && c.Abandon == nil }
+
+// Result is what applying a command gave.
+type Result struct {
+	Index ident.Index   `json:"index"`
+	Edit  *rows.Result  `json:"edit,omitempty"`
+	Mark  *drain.Result `json:"mark,omitempty"`
+	Claim *claim.Result `json:"claim,omitempty"`
+	// Err is set when the command could not be proposed; it did not happen.
+	Err string `json:"err,omitempty"`
+}
+
+// State is the replicated state as of Applied.
+type State struct {
+	Applied ident.Index
+	Rows    *rows.Table
+	Owners  *lease.Owners
+	Stops   *drain.Stops
+	Claims  *claim.Book
+}
+
+// New returns the empty state before the first entry.
+func New() *State {
+	return &State{Rows: rows.New(), Owners: lease.NewOwners(), Stops: drain.NewStops(), Claims: claim.NewBook()}
+}
+
+// Apply runs the command of entry i. A lower index than the applied one changes nothing.
+func (s *State) Apply(i ident.Index, c Command) Result {
+	res := Result{Index: i}
+	if i <= s.Applied {
+		return res
+	}
+	s.Applied = i
+	switch {
+	case c.Edit != nil:
+		r := s.Rows.Apply(i, *c.Edit)
+		res.Edit = &r
+	case c.Announce != nil:
+		s.Owners.Announce(*c.Announce)
+	case c.Depart != nil:
+		s.Owners.Depart(c.Depart.Endpoint, c.Depart.Instance)
+	case c.Assign != nil:
+		s.Owners.Assign(i, *c.Assign)
+	case c.Mark != nil:
+		r := s.Stops.Mark(*c.Mark)
+		res.Mark = &r
+	case c.Progress != nil:
+		s.Stops.Advance(*c.Progress)
+	default:
+		s.applyClaim(c, &res)
+	}
+	return res
+}
+
+func (s *State) applyClaim(c Command, res *Result) {
+	switch {
+	case c.Open != nil:
+		s.Claims.Expire(c.Wall)
+		r := s.Claims.Open(*c.Open)
+		res.Claim = &r
+	case c.Close != nil:
+		s.Claims.Close(*c.Close)
+	case c.Abandon != nil:
+		s.Claims.Abandon(*c.Abandon)
+	}
+}
+
+// Skip raises the applied index over entries that carry nothing for this host.
+func (s *State) Skip(i ident.Index) { s.Applied = max(s.Applied, i) }
+
+// Snapshot is the whole state in a form that can be stored and sent.
+type Snapshot struct {
+	Applied ident.Index    `json:"applied"`
+	Rows    rows.Snapshot  `json:"rows"`
+	Owners  []lease.Owned  `json:"owners"`
+	Stops   []drain.Stop   `json:"stops"`
+	Claims  []claim.Record `json:"claims,omitempty"`
+}
+
+// Snapshot returns a copy of the state; without claims it is what entry hosts receive.
+func (s *State) Snapshot(claims bool) Snapshot {
+	snap := Snapshot{Applied: s.Applied, Rows: s.Rows.Snapshot(), Owners: s.Owners.List(), Stops: s.Stops.List()}
+	if claims {
+		snap.Claims = s.Claims.List()
+	}
+	return snap
+}
+
+// Restore returns the state that s was taken from.
+func Restore(s Snapshot) *State {
+	return &State{
+		Applied: s.Applied,
+		Rows:    rows.Restore(s.Rows),
+		Owners:  lease.RestoreOwners(s.Owners),
+		Stops:   drain.RestoreStops(s.Stops),
+		Claims:  claim.RestoreBook(s.Claims),
+	}
+}
--- /dev/null
+++ b/core/world/control.go
@@ -0,0 +1,313 @@
+package world
+
+import (
+	"time"
+
+	"shallotgap/core/feed"
+	"shallotgap/core/ident"
+	"shallotgap/core/lease"
+	"shallotgap/core/quorum"
+	"shallotgap/core/state"
+	"shallotgap/core/wire"
+)
+
+// ResendAfter is the time after which an unanswered proposal or question is sent again.
+const ResendAfter = 300 * time.Millisecond
+
+// GiveUpAfter is the time after which an operator's proposal gets the answer that its result is unknown.
+const GiveUpAfter = 8 * time.Second
+
+// purpose tells what the answer to a proposal is for: an edge ticket, or a request's claim.
+type purpose struct {
+	ticket  Ticket
+	request *ident.RequestID
+}
+
+// pending is a proposal without an answer.
+type pending struct {
+	command state.Command
+	purpose purpose
+	since   ident.Time
+	sentAt  ident.Time
+}
+
+// asking is a question without an answer.
+type asking struct {
+	question Question
+	ticket   Ticket
+	since    ident.Time
+	sentAt   ident.Time
+}
+
+// receive handles a message from another host, or from this one.
+func (w *World) receive(from ident.HostID, m Message) {
+	switch {
+	case m.Quorum != nil:
+		if w.node != nil {
+			w.node.Step(*m.Quorum)
+		}
+	case m.Renew != nil:
+		w.grantLease(from, *m.Renew)
+	case m.Renewed != nil:
+		w.leader = from
+		w.holder.Extend(*m.Renewed)
+	case m.Update != nil:
+		w.follow(*m.Update)
+	case m.Propose != nil:
+		w.lead.propose(w, from, *m.Propose)
+	case m.Proposed != nil:
+		w.proposed(*m.Proposed)
+	case m.Ask != nil:
+		w.lead.answer(w, from, *m.Ask)
+	case m.Asked != nil:
+		w.asked(*m.Asked)
+	case m.Wants != nil:
+		w.lead.wants(from, m.Wants.List)
+	case m.Grant != nil:
+		w.granted(*m.Grant)
+	case m.Done != nil:
+		w.lead.loadDone(*m.Done)
+	case m.Alive != nil:
+		w.heard(*m.Alive)
+	default:
+		w.takeReports(m.Reports)
+	}
+}
+
+// runQuorum writes, sends and applies what the node has ready.
+func (w *World) runQuorum() {
+	if w.node == nil {
+		return
+	}
+	for {
+		r := w.node.Ready()
+		if r.Empty() {
+			return
+		}
+		w.takeReady(r)
+	}
+}
+
+func (w *World) takeReady(r quorum.Ready) {
+	var out []Outbound
+	for _, m := range r.Messages {
+		out = append(out, Outbound{To: m.To, Message: Message{Quorum: &m}})
+	}
+	if r.Writes() {
+		w.write(r, out)
+	} else {
+		w.sendAfterWrites(out)
+	}
+	if r.Restore != nil {
+		if err := w.restore(*r.Restore); err != nil {
+			w.note(ident.RequestID{}, "restore", err.Error(), "")
+		}
+	}
+	for _, e := range r.Committed {
+		w.apply(e)
+	}
+}
+
+func (w *World) write(r quorum.Ready, then []Outbound) {
+	w.writeSeq++
+	if n := len(r.Entries); n > 0 {
+		w.writes[w.writeSeq] = mark{index: r.Entries[n-1].Index, term: r.Entries[n-1].Term}
+	}
+	w.emit(Effect{Write: &Write{Seq: w.writeSeq, Hard: r.Hard, Snapshot: r.Snapshot, Entries: r.Entries, Then: then}})
+}
+
+// sendAfterWrites sends messages behind the writes still under way, since they may rest on them.
+func (w *World) sendAfterWrites(out []Outbound) {
+	if len(w.writes) > 0 && w.node.Role() != quorum.Leader {
+		w.emit(Effect{Write: &Write{Then: out}})
+		return
+	}
+	for i := range out {
+		w.emit(Effect{Send: &out[i]})
+	}
+}
+
+func (w *World) written(done Written) {
+	m, ok := w.writes[done.Seq]
+	delete(w.writes, done.Seq)
+	if ok && w.node != nil {
+		w.node.Stable(m.index, m.term)
+	}
+}
+
+// apply runs a committed entry and answers its proposer.
+func (w *World) apply(e quorum.Entry) {
+	c, ok, err := commandOf(e, wire.Unmarshal)
+	if err != nil {
+		w.note(ident.RequestID{}, "apply", err.Error(), "")
+	}
+	if !ok {
+		w.state.Skip(e.Index)
+		return
+	}
+	res := w.state.Apply(e.Index, c)
+	w.recent.Add(e.Index, c)
+	w.lead.applied(w, e, res)
+	w.compact()
+}
+
+func (w *World) compact() {
+	if w.node.Length() < w.Params.CompactAfter {
+		return
+	}
+	data, err := wire.Marshal(w.state.Snapshot(true))
+	if err != nil {
+		w.note(ident.RequestID{}, "snapshot", err.Error(), "")
+		return
+	}
+	if snap, ok := w.node.Compact(w.state.Applied, data); ok {
+		w.writeSeq++
+		w.emit(Effect{Write: &Write{Seq: w.writeSeq, Snapshot: &snap}})
+	}
+}
+
+// followLeader notices changes of leadership.
+func (w *World) followLeader() {
+	if w.node == nil {
+		return
+	}
+	if leader, _ := w.node.Leader(); leader != "" {
+		w.leader = leader
+	}
+	if w.node.Role() != quorum.Leader {
+		w.lead = nil
+		return
+	}
+	_, term := w.node.Leader()
+	if w.lead == nil || w.lead.term != term {
+		w.lead = newLeadership(w, term)
+	}
+}
+
+// renew sends this host's lease renewal when it is due.
+func (w *World) renew() {
+	r := w.holder.Due(w.now, w.state.Applied)
+	if r == nil {
+		return
+	}
+	for _, h := range w.leaderTargets() {
+		w.send(h, Message{Renew: r})
+	}
+}
+
+// leaderTargets returns the leader, and one further voter while the lease is about to lapse or no leader is known.
+func (w *World) leaderTargets() []ident.HostID {
+	var list []ident.HostID
+	if w.leader != "" {
+		list = append(list, w.leader)
+	}
+	if w.leader == "" || w.now.Add(w.Params.Lease.Length/2) > w.holder.Until() {
+		founders := w.founders()
+		w.leaderTry++
+		if next := founders[w.leaderTry%len(founders)]; next != w.leader {
+			list = append(list, next)
+		}
+	}
+	return list
+}
+
+func (w *World) grantLease(from ident.HostID, r lease.Renew) {
+	if w.lead == nil {
+		return
+	}
+	reply, update := w.lead.renew(w, from, r)
+	if update != nil {
+		w.send(from, Message{Update: update})
+	}
+	w.send(from, Message{Renewed: &reply})
+}
+
+// follow brings the state of a host without a log forward.
+func (w *World) follow(u feed.Update) {
+	if w.node == nil {
+		w.state = feed.Apply(w.state, u)
+	}
+}
+
+// propose sends a command to the leader and keeps it until it is answered.
+func (w *World) propose(c state.Command, p purpose) {
+	w.tickets++
+	w.pending[w.tickets] = &pending{command: c, purpose: p, since: w.now, sentAt: w.now}
+	w.sendProposal(w.tickets, c)
+}
+
+func (w *World) sendProposal(t Ticket, c state.Command) {
+	if w.leader != "" {
+		w.send(w.leader, Message{Propose: &Proposal{Ticket: t, Command: c}})
+	}
+}
+
+func (w *World) proposed(a Proposed) {
+	p, ok := w.pending[a.Ticket]
+	if !ok {
+		return
+	}
+	delete(w.pending, a.Ticket)
+	if p.purpose.request != nil {
+		w.claimed(*p.purpose.request, a.Result)
+		return
+	}
+	if p.purpose.ticket != 0 {
+		w.emit(Effect{Proposed: &Proposed{Ticket: p.purpose.ticket, Result: a.Result}})
+	}
+}
+
+func (w *World) ask(q Question) {
+	w.tickets++
+	a := &asking{question: Question{Ticket: w.tickets, Name: q.Name}, ticket: q.Ticket, since: w.now, sentAt: w.now}
+	w.asking[w.tickets] = a
+	w.sendQuestion(a)
+}
+
+func (w *World) sendQuestion(a *asking) {
+	if w.leader != "" {
+		q := a.question
+		w.send(w.leader, Message{Ask: &q})
+	}
+}
+
+func (w *World) asked(a Asked) {
+	q, ok := w.asking[a.Ticket]
+	if !ok {
+		return
+	}
+	delete(w.asking, a.Ticket)
+	a.Ticket = q.ticket
+	w.emit(Effect{Asked: &a})
+}
+
+// resend repeats proposals and questions that got no answer.
+func (w *World) resend() {
+	for _, t := range sortedKeys(w.pending) {
+		w.resendProposal(t, w.pending[t])
+	}
+	for _, t := range sortedKeys(w.asking) {
+		a := w.asking[t]
+		if w.now.Sub(a.since) > GiveUpAfter {
+			delete(w.asking, t)
+			continue
+		}
+		if w.now.Sub(a.sentAt) >= ResendAfter {
+			a.sentAt = w.now
+			w.sendQuestion(a)
+		}
+	}
+}
+
+func (w *World) resendProposal(t Ticket, p *pending) {
+	if p.purpose.ticket != 0 && w.now.Sub(p.since) > GiveUpAfter {
+		delete(w.pending, t)
+		res := state.Result{Err: "no answer from a majority; the change may still take effect"}
+		w.emit(Effect{Proposed: &Proposed{Ticket: p.purpose.ticket, Result: res}})
+		return
+	}
+	if w.now.Sub(p.sentAt) >= ResendAfter {
+		p.sentAt = w.now
+		w.sendProposal(t, p.command)
+	}
+}
--- /dev/null
+++ b/core/world/serve.go
@@ -0,0 +1,182 @@
+package world
+
+import (
+	"fmt"
+	"time"
+
+	"shallotgap/core/drain"
+	"shallotgap/core/ident"
+	"shallotgap/core/lease"
+	"shallotgap/core/place"
+	"shallotgap/core/route"
+	"shallotgap/core/rows"
+	"shallotgap/core/work"
+)
+
+// forwarded is a request that this entry host passed to an owner.
+type forwarded struct {
+	request work.Request
+	to      ident.HostID
+}
+
+// RetryLater tells a caller to come back after leases and ownership have had time to move.
+const RetryLater = 2 * time.Second
+
+// arrive decides where a request goes.
+func (w *World) arrive(a Arrive) {
+	if !w.Serving() {
+		w.refuse(a.Request.ID, a.From, work.Refusal{Outcome: work.NotRun, Reason: work.NoLease, Step: "admit", RetryAfter: RetryLater})
+		return
+	}
+	if a.From != w.Self {
+		w.arriveFromEntry(a)
+		return
+	}
+	if r := w.checkRow(a.Request); r != nil {
+		w.refuse(a.Request.ID, a.From, *r)
+		return
+	}
+	c, cause, ok := w.choose(a.Request)
+	if !ok {
+		w.refuse(a.Request.ID, a.From, work.Refusal{Outcome: work.NotRun, Reason: work.NoEndpoint, Step: "route", RetryAfter: RetryLater})
+		return
+	}
+	w.note(a.Request.ID, "route", string(cause), string(c.Endpoint))
+	if c.Owner == w.Self {
+		w.enqueue(a.Request, a.From, c.Endpoint)
+		return
+	}
+	w.forwards[a.Request.ID] = forwarded{request: a.Request, to: c.Owner}
+	w.emit(Effect{Forward: &Forward{Request: a.Request, To: c.Owner, Endpoint: c.Endpoint}})
+}
+
+func (w *World) arriveFromEntry(a Arrive) {
+	if w.sites[a.Endpoint] == nil {
+		w.refuse(a.Request.ID, a.From, work.Refusal{Outcome: work.NotRun, Reason: work.NotOwner, Step: "forward", Peer: string(w.Self), RetryAfter: RetryLater})
+		return
+	}
+	w.enqueue(a.Request, a.From, a.Endpoint)
+}
+
+// checkRow refuses a model request that no row allows.
+func (w *World) checkRow(r work.Request) *work.Refusal {
+	if r.Service != "" {
+		return nil
+	}
+	row, ok := w.state.Rows.Get(rows.KeyOf(r.Workspace, r.Model.Adapter))
+	if ok && row.Serves(r.Model.Version) {
+		return nil
+	}
+	return &work.Refusal{Outcome: work.NotRun, Reason: work.UnknownAdapter, Step: "admit", Peer: r.Model.String()}
+}
+
+// choose returns the endpoint for a request and why.
+func (w *World) choose(r work.Request) (route.Candidate, route.Cause, bool) {
+	list := w.candidates(r)
+	if r.Service != "" {
+		c, ok := route.LeastLoaded(list)
+		return c, route.ByLoad, ok
+	}
+	return route.Choose(r.Model, list)
+}
+
+func (w *World) candidates(r work.Request) []route.Candidate {
+	var list []route.Candidate
+	for _, e := range w.state.Owners.List() {
+		if !w.takes(e, r) {
+			continue
+		}
+		list = append(list, w.candidate(e, r.Model))
+	}
+	return list
+}
+
+// takes reports whether an endpoint serves the request's kind and takes new work.
+func (w *World) takes(e lease.Owned, r work.Request) bool {
+	if e.Owner == "" || e.Leaving || w.state.Stops.Stopping(drain.Endpoint, string(e.ID)) {
+		return false
+	}
+	if r.Service != "" {
+		return e.Kind == lease.Plain && e.Service == r.Service
+	}
+	return e.Kind == lease.Engine
+}
+
+func (w *World) candidate(e lease.Owned, m ident.Model) route.Candidate {
+	rep := w.reports[e.ID]
+	if site := w.sites[e.ID]; site != nil {
+		rep = site.Report()
+	}
+	c := route.Candidate{Endpoint: e.ID, Owner: e.Owner, Running: rep.Running, Queued: rep.Queued, MaxRunning: e.MaxRunning}
+	for _, x := range rep.Resident {
+		c.Resident = c.Resident || x == m
+	}
+	for _, x := range rep.Loading {
+		c.Loading = c.Loading || x == m
+	}
+	return c
+}
+
+// enqueue takes a request as the owner of its endpoint.
+func (w *World) enqueue(r work.Request, from ident.HostID, e ident.EndpointID) {
+	site := w.sites[e]
+	if site == nil {
+		w.refuse(r.ID, from, work.Refusal{Outcome: work.NotRun, Reason: work.NotOwner, Step: "queue", RetryAfter: RetryLater})
+		return
+	}
+	it := &place.Item{Request: r, From: from, Endpoint: e, Arrived: w.now, Deadline: w.now.Add(r.Left)}
+	w.items[r.ID] = it
+	site.Add(it)
+	w.note(r.ID, "queue", fmt.Sprintf("%d waiting, %d running", len(site.Queue)-1, site.Running), string(e))
+}
+
+// refuse gives a request its final answer.
+func (w *World) refuse(id ident.RequestID, to ident.HostID, r work.Refusal) {
+	delete(w.forwards, id)
+	w.note(id, r.Step, "refused: "+string(r.Reason), r.Peer)
+	w.emit(Effect{Refuse: &Refuse{ID: id, To: to, Refusal: r}})
+}
+
+// cancel ends a request whose caller has gone. A claimed unrepeatable request runs on, so that its outcome is recorded.
+func (w *World) cancel(id ident.RequestID) {
+	delete(w.forwards, id)
+	it := w.items[id]
+	if it == nil || it.Claiming || it.Claimed {
+		return
+	}
+	if it.Running {
+		w.note(id, "cancel", "the caller has gone", string(it.Endpoint))
+		w.emit(Effect{Abort: &Abort{ID: id}})
+		return
+	}
+	w.drop(it)
+}
+
+// drop forgets a request that is not running.
+func (w *World) drop(it *place.Item) {
+	if site := w.sites[it.Endpoint]; site != nil {
+		site.Remove(it.ID)
+	}
+	delete(w.items, it.ID)
+}
+
+// expire refuses queued requests whose deadline has passed, at once.
+func (w *World) expire() {
+	for _, id := range sortedKeys(w.sites) {
+		for _, it := range append([]*place.Item(nil), w.sites[id].Queue...) {
+			if w.now < it.Deadline || it.Claiming {
+				continue
+			}
+			w.giveUp(it, work.Refusal{Outcome: work.NotRun, Reason: work.Late, Step: "queue", Peer: string(it.Endpoint), RetryAfter: RetryLater})
+		}
+	}
+}
+
+// linkLost ends the requests that were forwarded over a broken link; the edge tells their callers.
+func (w *World) linkLost(h ident.HostID) {
+	for id, f := range w.forwards {
+		if f.to == h {
+			delete(w.forwards, id)
+		}
+	}
+}
--- /dev/null
+++ b/core/world/world.go
@@ -0,0 +1,281 @@
+// Package world joins all tables and systems of one host: events go in, effects come out.
+//
+// A world has no goroutines, sockets or clocks of its own. The same inputs give the same effects, so a
+// recorded trace can be replayed.
+package world
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"shallotgap/core/feed"
+	"shallotgap/core/ident"
+	"shallotgap/core/lease"
+	"shallotgap/core/place"
+	"shallotgap/core/quorum"
+	"shallotgap/core/state"
+	"shallotgap/core/wire"
+)
+
+// Peer is a host as the settings name it.
+type Peer struct {
+	Host   ident.HostID
+	Domain ident.DomainID
+	// Disk is true for a host with a data folder.
+	Disk bool
+}
+
+// Stored is what the disk of a voter held at the start.
+type Stored struct {
+	Disk     quorum.DiskID
+	Hard     quorum.Hard
+	Snapshot quorum.Snapshot
+	Entries  []quorum.Entry
+}
+
+// Config is what a world is made from.
+type Config struct {
+	Self        ident.HostID
+	Incarnation ident.Incarnation
+	Peers       []Peer // all hosts, this one included
+	Stored      *Stored
+	Params      Params
+	Rand        *rand.Rand
+	Now         ident.Time
+}
+
+// Params are the settings of the decisions.
+type Params struct {
+	Lease     lease.Terms
+	Heartbeat time.Duration // between a leader's messages to voters
+	Election  time.Duration // shortest election timeout
+	// EndpointSilence is how long an endpoint may be silent before it counts as gone.
+	EndpointSilence time.Duration
+	// LongestRequest bounds how long a request runs at an endpoint.
+	LongestRequest time.Duration
+	StoreRate      float64 // loads a second
+	StoreInFlight  int     // loads at once
+	KeyLife        time.Duration
+	CompactAfter   int // log entries between snapshots
+}
+
+// Defaults returns the parameters that hold where the settings name none.
+func Defaults() Params {
+	return Params{
+		Lease: lease.Terms{
+			Length: 2 * time.Second,
+			Margin: 200 * time.Millisecond,
+			Renew:  400 * time.Millisecond,
+			Spread: 800 * time.Millisecond,
+		},
+		Heartbeat:       100 * time.Millisecond,
+		Election:        400 * time.Millisecond,
+		EndpointSilence: 4 * time.Second,
+		LongestRequest:  10 * time.Minute,
+		StoreRate:       2,
+		StoreInFlight:   8,
+		KeyLife:         24 * time.Hour,
+		CompactAfter:    4096,
+	}
+}
+
+// World is the decision core of one host.
+type World struct {
+	Config
+	now     ident.Time
+	wall    int64
+	effects []Effect
+
+	node   *quorum.Node // nil without a data folder
+	state  *state.State
+	recent *feed.Recent
+	holder lease.Holder
+	lead   *leadership // nil while another host leads
+	leader ident.HostID
+	// leaderTry walks the hosts while no leader is known.
+	leaderTry int
+	writeSeq  uint64
+	writes    map[uint64]mark
+
+	tickets Ticket
+	pending map[Ticket]*pending
+	asking  map[Ticket]*asking
+
+	sites    map[ident.EndpointID]*place.Site
+	items    map[ident.RequestID]*place.Item
+	forwards map[ident.RequestID]forwarded
+	reports  map[ident.EndpointID]place.Report
+	reportAt ident.Time
+	sent     map[ident.EndpointID]string
+}
+
+// mark is the end of the log that a write makes durable.
+type mark struct {
+	index ident.Index
+	term  ident.Term
+}
+
+// New returns the world of a host that starts at c.Now.
+func New(c Config) (*World, error) {
+	w := &World{
+		Config:   c,
+		now:      c.Now,
+		state:    state.New(),
+		recent:   feed.NewRecent(0),
+		holder:   lease.Holder{Terms: c.Params.Lease, Incarnation: c.Incarnation},
+		writes:   map[uint64]mark{},
+		pending:  map[Ticket]*pending{},
+		asking:   map[Ticket]*asking{},
+		sites:    map[ident.EndpointID]*place.Site{},
+		items:    map[ident.RequestID]*place.Item{},
+		forwards: map[ident.RequestID]forwarded{},
+		reports:  map[ident.EndpointID]place.Report{},
+		sent:     map[ident.EndpointID]string{},
+	}
+	if c.Stored == nil {
+		return w, nil
+	}
+	return w, w.startNode(*c.Stored)
+}
+
+func (w *World) startNode(s Stored) error {
+	if len(s.Snapshot.Data) > 0 {
+		if err := w.restore(s.Snapshot); err != nil {
+			return err
+		}
+	}
+	w.node = quorum.New(quorum.Settings{
+		Self:      w.Self,
+		Disk:      s.Disk,
+		Founders:  w.founders(),
+		Heartbeat: w.Params.Heartbeat,
+		Election:  w.Params.Election,
+		MaxBatch:  512,
+		Rand:      w.Rand,
+	}, quorum.NewLog(s.Snapshot, s.Entries), s.Hard, w.Now)
+	return nil
+}
+
+func (w *World) founders() []ident.HostID {
+	var list []ident.HostID
+	for _, p := range w.Peers {
+		if p.Disk {
+			list = append(list, p.Host)
+		}
+	}
+	return list
+}
+
+func (w *World) restore(s quorum.Snapshot) error {
+	var snap state.Snapshot
+	if err := wire.Unmarshal(s.Data, &snap); err != nil {
+		return fmt.Errorf("restore snapshot %d: %w", s.Index, err)
+	}
+	snap.Applied = s.Index
+	w.state = state.Restore(snap)
+	w.recent = feed.NewRecent(s.Index)
+	return nil
+}
+
+// Handle takes one event at the clock reading now (wall in Unix seconds) and returns what to do.
+func (w *World) Handle(in Input) []Effect {
+	w.now = max(w.now, in.Now)
+	w.wall = in.Wall
+	w.handle(in.Event)
+	w.run()
+	out := w.effects
+	w.effects = nil
+	return out
+}
+
+func (w *World) handle(e Event) {
+	switch {
+	case e.Message != nil:
+		w.receive(e.Message.From, e.Message.Message)
+	case e.Written != nil:
+		w.written(*e.Written)
+	case e.Arrive != nil:
+		w.arrive(*e.Arrive)
+	case e.Cancel != nil:
+		w.cancel(e.Cancel.ID)
+	case e.Ended != nil:
+		w.ended(*e.Ended)
+	case e.Announced != nil:
+		w.announced(*e.Announced)
+	case e.Loaded != nil:
+		w.loaded(*e.Loaded)
+	case e.Inspected != nil:
+		w.inspected(*e.Inspected)
+	case e.Propose != nil:
+		w.propose(e.Propose.Command, purpose{ticket: e.Propose.Ticket})
+	case e.Ask != nil:
+		w.ask(*e.Ask)
+	case e.LinkLost != nil:
+		w.linkLost(e.LinkLost.Host)
+	default:
+		w.tick()
+	}
+}
+
+// tick runs the systems that depend on the clock.
+func (w *World) tick() {
+	if w.node != nil {
+		w.node.Tick(w.now)
+	}
+	w.renew()
+	w.resend()
+	w.tickLeader()
+	w.tickSites()
+	w.expire()
+	w.broadcastReports()
+}
+
+// run lets the systems follow what an event changed.
+func (w *World) run() {
+	w.runQuorum()
+	w.followLeader()
+	w.syncSites()
+	w.dispatch()
+	w.runQuorum()
+}
+
+func (w *World) emit(e Effect) { w.effects = append(w.effects, e) }
+
+// send passes a message to a host; one to this host itself is handled at once.
+func (w *World) send(to ident.HostID, m Message) {
+	if to == w.Self {
+		w.receive(w.Self, m)
+		return
+	}
+	w.emit(Effect{Send: &Outbound{To: to, Message: m}})
+}
+
+func (w *World) note(id ident.RequestID, step, cause, peer string) {
+	w.emit(Effect{Note: &Note{Request: id, At: w.now, Step: step, Cause: cause, Peer: peer}})
+}
+
+// State returns the replicated state as this host has applied it. The caller must not change it.
+func (w *World) State() *state.State { return w.state }
+
+// Leader returns the leading host as far as this host knows, or "".
+func (w *World) Leader() ident.HostID { return w.leader }
+
+// Serving reports whether this host's lease is valid.
+func (w *World) Serving() bool { return w.holder.Valid(w.now) }
+
+// Reports returns what this host knows of the load and residency of all endpoints, in order.
+func (w *World) Reports() []place.Report {
+	all := map[ident.EndpointID]place.Report{}
+	for id, r := range w.reports {
+		all[id] = r
+	}
+	for id, site := range w.sites {
+		all[id] = site.Report()
+	}
+	list := make([]place.Report, 0, len(all))
+	for _, id := range sortedKeys(all) {
+		list = append(list, all[id])
+	}
+	return list
+}
--- /dev/null
+++ b/fakes/main.go
@@ -0,0 +1,89 @@
+// Command fakes runs one stand-in for what lies outside the system: a model engine, a plain service or the
+// weight store.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"shallotgap/fakes/stand"
+)
+
+// headerTimeout bounds the reading of a request's header.
+const headerTimeout = 5 * time.Second
+
+type cli struct {
+	Engine engine `cmd:"" help:"Run a model engine."`
+	Plain  plain  `cmd:"" help:"Run a plain service."`
+	Store  store  `cmd:"" help:"Run the weight store."`
+}
+
+func main() {
+	var c cli
+	ctx := kong.Parse(&c, kong.Name("fakes"))
+	if err := ctx.Run(); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "fakes:", err)
+		os.Exit(1)
+	}
+}
+
+// listener is the flag that all stand-ins share.
+type listener struct {
+	Listen string `default:"127.0.0.1:0" help:"Address to listen on."`
+}
+
+// serve serves a handler; port 0 takes one from the system.
+func (l listener) serve(handler http.Handler, ready func(url string)) error {
+	socket, err := net.Listen("tcp", l.Listen)
+	if err != nil {
+		return err
+	}
+	ready("http://" + socket.Addr().String())
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	return server.Serve(socket)
+}
+
+type engine struct {
+	listener
+	stand.EngineConfig
+	Entries []string `required:"" help:"Addresses of entry hosts."`
+}
+
+// Run serves until the process is ended.
+func (c *engine) Run() error {
+	ctx := context.Background()
+	e := stand.NewEngine(ctx, c.EngineConfig)
+	return c.serve(e.Handler(), func(url string) {
+		go stand.Announce(ctx, c.Entries, func() stand.Announcement { return e.Announcement(url) })
+	})
+}
+
+type plain struct {
+	listener
+	stand.PlainConfig
+	Entries []string `required:"" help:"Addresses of entry hosts."`
+}
+
+// Run serves until the process is ended.
+func (c *plain) Run() error {
+	p := stand.NewPlain(c.PlainConfig)
+	return c.serve(p.Handler(), func(url string) {
+		go stand.Announce(context.Background(), c.Entries, func() stand.Announcement { return p.Announcement(url) })
+	})
+}
+
+type store struct {
+	listener
+	stand.StoreConfig
+}
+
+// Run serves until the process is ended.
+func (c *store) Run() error {
+	return c.serve(stand.NewStore(c.StoreConfig).Handler(), func(string) {})
+}
--- /dev/null
+++ b/io/admin/admin.go
@@ -0,0 +1,144 @@
+// Package admin serves operators over HTTP: the table, planned stops, status and explanations.
+package admin
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"shallotgap/core/drain"
+	"shallotgap/core/ident"
+	"shallotgap/core/lease"
+	"shallotgap/core/place"
+	"shallotgap/core/rows"
+	"shallotgap/core/state"
+	"shallotgap/core/world"
+	"shallotgap/io/host"
+	"shallotgap/io/logs"
+)
+
+// maxEdit is the largest body of an operator's request in bytes.
+const maxEdit = 1 << 20
+
+// Server answers operators.
+type Server struct {
+	logs.Common
+	host *host.Host
+}
+
+// New returns a server in front of h.
+func New(common logs.Common, h *host.Host) *Server { return &Server{Common: common, host: h} }
+
+// Register adds the server's paths to mux.
+func (s *Server) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /admin/table", s.table)
+	mux.HandleFunc("POST /admin/table", s.edit)
+	mux.HandleFunc("GET /admin/stops", s.stops)
+	mux.HandleFunc("POST /admin/stops", s.mark)
+	mux.HandleFunc("GET /admin/status", s.status)
+	mux.HandleFunc("GET /admin/explain/{id}", s.explain)
+}
+
+// Table is the operators' table as of Index.
+type Table struct {
+	Index ident.Index `json:"index"`
+	Rows  []rows.Row  `json:"rows"`
+}
+
+func (s *Server) table(w http.ResponseWriter, r *http.Request) {
+	out := Table{Rows: []rows.Row{}}
+	s.view(w, r, &out, func(v *world.World) {
+		out.Index = v.State().Applied
+		out.Rows = append(out.Rows, v.State().Rows.List()...)
+	})
+}
+
+// view fills out in the loop and writes it.
+func (s *Server) view(w http.ResponseWriter, r *http.Request, out any, fill func(*world.World)) {
+	if err := s.host.View(r.Context(), fill); err != nil {
+		return
+	}
+	writeJSON(w, http.StatusOK, out)
+}
+
+func (s *Server) edit(w http.ResponseWriter, r *http.Request) {
+	var e rows.Edit
+	if !read(w, r, &e) {
+		return
+	}
+	s.propose(w, r, state.Command{Edit: &e})
+}
+
+func (s *Server) mark(w http.ResponseWriter, r *http.Request) {
+	var m drain.Mark
+	if !read(w, r, &m) {
+		return
+	}
+	s.propose(w, r, state.Command{Mark: &m})
+}
+
+func (s *Server) propose(w http.ResponseWriter, r *http.Request, c state.Command) {
+	res, err := s.host.Propose(r.Context(), c)
+	if err != nil {
+		res.Err = err.Error()
+	}
+	code := http.StatusOK
+	if res.Err != "" {
+		code = http.StatusServiceUnavailable
+	}
+	writeJSON(w, code, res)
+}
+
+func (s *Server) stops(w http.ResponseWriter, r *http.Request) {
+	out := []drain.Stop{}
+	s.view(w, r, &out, func(v *world.World) { out = append(out, v.State().Stops.List()...) })
+}
+
+// Status is what one host knows of the system.
+type Status struct {
+	Host      ident.HostID   `json:"host"`
+	Leader    ident.HostID   `json:"leader"`
+	Serving   bool           `json:"serving"`
+	Applied   ident.Index    `json:"applied"`
+	Endpoints []lease.Owned  `json:"endpoints"`
+	Reports   []place.Report `json:"reports"`
+	Stops     []drain.Stop   `json:"stops"`
+}
+
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	out := Status{Host: s.host.Settings.Name}
+	s.view(w, r, &out, func(v *world.World) {
+		out.Leader = v.Leader()
+		out.Serving = v.Serving()
+		out.Applied = v.State().Applied
+		out.Endpoints = v.State().Owners.List()
+		out.Reports = v.Reports()
+		out.Stops = v.State().Stops.List()
+	})
+}
+
+func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
+	id, err := ident.ParseRequestID(r.PathValue("id"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	notes := s.host.Notes(id)
+	if notes == nil {
+		notes = []world.Note{}
+	}
+	writeJSON(w, http.StatusOK, notes)
+}
+
+func read(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxEdit)).Decode(v); err != nil {
+		http.Error(w, "bad JSON: "+err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/io/conf/conf.go
@@ -0,0 +1,258 @@
+// Package conf reads and checks the settings of one host.
+package conf
+
+import (
+	"fmt"
+	"net/netip"
+	"sort"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"shallotgap/core/ident"
+	"shallotgap/core/world"
+)
+
+// Settings are the checked settings of one host.
+type Settings struct {
+	File       string
+	Name       ident.HostID
+	Domain     ident.DomainID
+	DataFolder string // empty for a host without a log
+	LogLevel   string
+	// Hosts are all entry hosts, this one included, in order of their names.
+	Hosts  []Host
+	Params world.Params
+	// EntryLife is how long callers may keep an answer to GET /v1/entries.
+	EntryLife time.Duration
+}
+
+// Host is an entry host as all settings name it.
+type Host struct {
+	Name   ident.HostID
+	Domain ident.DomainID
+	Listen string // address for callers, endpoints and operators
+	Peer   string // address for other hosts
+	Disk   bool
+}
+
+// Self returns this host's own entry.
+func (s Settings) Self() Host {
+	for _, h := range s.Hosts {
+		if h.Name == s.Name {
+			return h
+		}
+	}
+	return Host{}
+}
+
+// Peers returns the hosts in the form that the decision core takes.
+func (s Settings) Peers() []world.Peer {
+	list := make([]world.Peer, 0, len(s.Hosts))
+	for _, h := range s.Hosts {
+		list = append(list, world.Peer{Host: h.Name, Domain: h.Domain, Disk: h.Disk})
+	}
+	return list
+}
+
+// Error names the place in a settings file that is wrong.
+type Error struct {
+	File    string
+	Section string
+	Key     string
+	Reason  string
+}
+
+// Error returns "file: [section] key: reason".
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: [%s] %s: %s", e.File, e.Section, e.Key, e.Reason)
+}
+
+// Defaults returns the settings that hold where a file names none.
+func Defaults() Settings {
+	return Settings{LogLevel: "info", Params: world.Defaults(), EntryLife: 5 * time.Second}
+}
+
+// known are the keys of each section; "host.*" stands for every section of one entry host.
+var known = map[string][]string{
+	"self":    {"name", "data-folder", "log-level"},
+	"host.*":  {"domain", "listen", "peer", "disk"},
+	"callers": {"entry-life"},
+	"store":   {"loads-per-second", "loads-in-flight"},
+}
+
+// Load reads and checks a settings file.
+func Load(file string) (Settings, error) {
+	f, err := ini.LoadSources(ini.LoadOptions{KeyValueDelimiters: "="}, file)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings %s: %w", file, err)
+	}
+	r := &reader{file: f, name: file}
+	s := r.settings()
+	return s, r.err
+}
+
+// reader collects the first error while it reads keys.
+type reader struct {
+	file *ini.File
+	name string
+	err  error
+}
+
+func (r *reader) fail(section, key, reason string) {
+	if r.err == nil {
+		r.err = &Error{File: r.name, Section: section, Key: key, Reason: reason}
+	}
+}
+
+func (r *reader) settings() Settings {
+	r.checkKeys()
+	s := Defaults()
+	s.File = r.name
+	self := r.file.Section("self")
+	s.Name = ident.HostID(self.Key("name").String())
+	s.DataFolder = self.Key("data-folder").String()
+	s.LogLevel = self.Key("log-level").MustString(s.LogLevel)
+	s.EntryLife = r.duration("callers", "entry-life", s.EntryLife)
+	s.Params.StoreRate = r.float("store", "loads-per-second", s.Params.StoreRate)
+	s.Params.StoreInFlight = r.int("store", "loads-in-flight", s.Params.StoreInFlight)
+	s.Hosts = r.hosts()
+	s.Domain = s.Self().Domain
+	r.checkHosts(s)
+	return s
+}
+
+func (r *reader) checkKeys() {
+	for _, section := range r.file.Sections() {
+		name := section.Name()
+		if name == ini.DefaultSection && len(section.Keys()) == 0 {
+			continue
+		}
+		kind := name
+		if strings.HasPrefix(name, "host.") {
+			kind = "host.*"
+		}
+		keys, ok := known[kind]
+		if !ok {
+			r.fail(name, "", "unknown section")
+			continue
+		}
+		for _, k := range section.Keys() {
+			if !contains(keys, k.Name()) {
+				r.fail(name, k.Name(), "unknown key")
+			}
+		}
+	}
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *reader) hosts() []Host {
+	var list []Host
+	for _, section := range r.file.Sections() {
+		name, ok := strings.CutPrefix(section.Name(), "host.")
+		if !ok {
+			continue
+		}
+		h := Host{
+			Name:   ident.HostID(name),
+			Domain: ident.DomainID(section.Key("domain").String()),
+			Listen: r.address(section, "listen"),
+			Peer:   r.address(section, "peer"),
+		}
+		if section.HasKey("disk") {
+			disk, err := section.Key("disk").Bool()
+			if err != nil {
+				r.fail(section.Name(), "disk", "want true or false")
+			}
+			h.Disk = disk
+		}
+		if h.Domain == "" {
+			r.fail(section.Name(), "domain", "must be set")
+		}
+		list = append(list, h)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
+func (r *reader) address(s *ini.Section, key string) string {
+	v := s.Key(key).String()
+	if _, err := netip.ParseAddrPort(v); err != nil {
+		r.fail(s.Name(), key, fmt.Sprintf("%q is not IP:PORT", v))
+	}
+	return v
+}
+
+func (r *reader) checkHosts(s Settings) {
+	self := s.Self()
+	if self.Name == "" {
+		r.fail("self", "name", fmt.Sprintf("no section [host.%s]", s.Name))
+	}
+	if self.Disk != (s.DataFolder != "") {
+		r.fail("self", "data-folder", "must be set on the hosts with disk = true, and only there")
+	}
+	used := map[string]ident.HostID{}
+	disks := 0
+	for _, h := range s.Hosts {
+		for _, a := range []string{h.Listen, h.Peer} {
+			if other, clash := used[a]; clash {
+				r.fail("host."+string(h.Name), "listen", fmt.Sprintf("%s is also used by host %s", a, other))
+			}
+			used[a] = h.Name
+		}
+		if h.Disk {
+			disks++
+		}
+	}
+	if disks < 3 && disks != 1 {
+		r.fail("self", "disk", fmt.Sprintf("%d hosts have disk = true; want 1, or 3 and more", disks))
+	}
+}
+
+func (r *reader) duration(section, key string, otherwise time.Duration) time.Duration {
+	s := r.file.Section(section)
+	if !s.HasKey(key) {
+		return otherwise
+	}
+	d, err := time.ParseDuration(s.Key(key).String())
+	if err != nil || d <= 0 {
+		r.fail(section, key, "want a positive duration with its unit, such as 5s")
+		return otherwise
+	}
+	return d
+}
+
+func (r *reader) float(section, key string, otherwise float64) float64 {
+	s := r.file.Section(section)
+	if !s.HasKey(key) {
+		return otherwise
+	}
+	f, err := s.Key(key).Float64()
+	if err != nil || f <= 0 {
+		r.fail(section, key, "want a positive number")
+		return otherwise
+	}
+	return f
+}
+
+func (r *reader) int(section, key string, otherwise int) int {
+	s := r.file.Section(section)
+	if !s.HasKey(key) {
+		return otherwise
+	}
+	n, err := s.Key(key).Int()
+	if err != nil || n <= 0 {
+		r.fail(section, key, "want a positive whole number")
+		return otherwise
+	}
+	return n
+}
--- /dev/null
+++ b/io/entry/entry.go
@@ -0,0 +1,220 @@
+// Package entry serves callers and endpoints over HTTP: addresses, the OpenAI-compatible API, plain services,
+// the state of unrepeatable requests, and announcements.
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"shallotgap/core/drain"
+	"shallotgap/core/ident"
+	"shallotgap/core/lease"
+	"shallotgap/core/rows"
+	"shallotgap/core/work"
+	"shallotgap/core/world"
+	"shallotgap/io/conf"
+	"shallotgap/io/host"
+	"shallotgap/io/logs"
+)
+
+// Headers that callers may send.
+const (
+	WorkspaceHeader = "Shallotgap-Workspace"
+	TimeoutHeader   = "Shallotgap-Timeout" // a duration with its unit, such as 30s
+	UrgencyHeader   = "Shallotgap-Urgency" // bulk, normal or urgent
+	RequestHeader   = "Shallotgap-Request" // in answers: the request's id
+	KeyHeader       = "Idempotency-Key"
+)
+
+// Bounds of a caller's request.
+const (
+	maxBody        = 8 << 20 // bytes
+	defaultTimeout = 60 * time.Second
+	maxTimeout     = 10 * time.Minute
+	maxKey         = 200 // bytes of an Idempotency-Key
+)
+
+// DefaultWorkspace is used where a caller names none and no tokens are configured.
+const DefaultWorkspace = ident.Workspace("default")
+
+// Server answers callers.
+type Server struct {
+	logs.Common
+	host     *host.Host
+	settings conf.Settings
+}
+
+// New returns a server in front of h.
+func New(common logs.Common, h *host.Host) *Server {
+	return &Server{Common: common, host: h, settings: h.Settings}
+}
+
+// Register adds the server's paths to mux.
+func (s *Server) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /v1/entries", s.entries)
+	mux.HandleFunc("GET /v1/models", s.models)
+	mux.HandleFunc("POST /v1/chat/completions", s.complete)
+	mux.HandleFunc("POST /v1/completions", s.complete)
+	mux.HandleFunc("/services/{name}/", s.service)
+	mux.HandleFunc("GET /v1/requests/{key}", s.request)
+	mux.HandleFunc("POST /v1/endpoints", s.announce)
+	mux.HandleFunc("DELETE /v1/endpoints/{id}", s.leave)
+}
+
+// Entries is the answer to GET /v1/entries: the addresses to use, best first, for Lifetime.
+type Entries struct {
+	Entries    []Address `json:"entries"`
+	LifetimeMS int64     `json:"lifetime-ms"`
+}
+
+// Address is one entry host.
+type Address struct {
+	Host   ident.HostID   `json:"host"`
+	URL    string         `json:"url"`
+	Domain ident.DomainID `json:"domain"`
+}
+
+// entries answers with the hosts that take callers: those of the asker's failure domain first, stopping ones left out.
+func (s *Server) entries(w http.ResponseWriter, r *http.Request) {
+	near := ident.DomainID(r.URL.Query().Get("domain"))
+	if near == "" {
+		near = s.settings.Domain
+	}
+	out := Entries{LifetimeMS: s.settings.EntryLife.Milliseconds()}
+	err := s.host.View(r.Context(), func(v *world.World) {
+		for _, pass := range []bool{true, false} {
+			for _, h := range s.settings.Hosts {
+				if (h.Domain == near) == pass && !v.State().Stops.Stopping(drain.Host, string(h.Name)) {
+					out.Entries = append(out.Entries, Address{Host: h.Name, URL: "http://" + h.Listen, Domain: h.Domain})
+				}
+			}
+		}
+	})
+	if err == nil {
+		writeJSON(w, http.StatusOK, out)
+	}
+}
+
+// modelList is the OpenAI-compatible form of GET /v1/models.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (s *Server) models(w http.ResponseWriter, r *http.Request) {
+	out := modelList{Object: "list", Data: []modelItem{}}
+	workspace := s.workspace(r)
+	err := s.host.View(r.Context(), func(v *world.World) {
+		for _, row := range v.State().Rows.List() {
+			if row.Workspace == workspace {
+				out.Data = append(out.Data, itemsOf(row)...)
+			}
+		}
+	})
+	if err == nil {
+		writeJSON(w, http.StatusOK, out)
+	}
+}
+
+func itemsOf(row rows.Row) []modelItem {
+	var list []modelItem
+	for _, v := range []ident.Version{row.Version, row.Previous} {
+		if v != "" {
+			m := ident.Model{Adapter: row.Adapter, Version: v}
+			list = append(list, modelItem{ID: m.String(), Object: "model", OwnedBy: string(row.Workspace)})
+		}
+	}
+	return list
+}
+
+// workspace returns the workspace that a request counts for.
+func (s *Server) workspace(r *http.Request) ident.Workspace {
+	if name := r.Header.Get(WorkspaceHeader); name != "" {
+		return ident.Workspace(name)
+	}
+	return DefaultWorkspace
+}
+
+// Announced is the answer to an announcement: the address to send the next one to.
+type Announced struct {
+	Owner string `json:"owner,omitempty"`
+}
+
+func (s *Server) announce(w http.ResponseWriter, r *http.Request) {
+	var e lease.Endpoint
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&e); err != nil || e.ID == "" || e.URL == "" || e.Instance == 0 {
+		problem(w, http.StatusBadRequest, work.Refusal{Outcome: work.NotRun, Reason: "bad-announcement", Step: "announce"})
+		return
+	}
+	s.host.Announce(e)
+	s.answerOwner(w, r, e.ID)
+}
+
+// leave marks an endpoint as shutting down gracefully.
+func (s *Server) leave(w http.ResponseWriter, r *http.Request) {
+	id := ident.EndpointID(r.PathValue("id"))
+	var e lease.Owned
+	var known bool
+	err := s.host.View(r.Context(), func(v *world.World) { e, known = v.State().Owners.Get(id) })
+	if err != nil {
+		return
+	}
+	if !known {
+		problem(w, http.StatusNotFound, work.Refusal{Outcome: work.NotRun, Reason: "unknown-endpoint", Step: "leave"})
+		return
+	}
+	e.Leaving = true
+	s.host.Announce(e.Endpoint)
+	s.answerOwner(w, r, id)
+}
+
+func (s *Server) answerOwner(w http.ResponseWriter, r *http.Request, id ident.EndpointID) {
+	var owner ident.HostID
+	err := s.host.View(r.Context(), func(v *world.World) {
+		e, _ := v.State().Owners.Get(id)
+		owner = e.Owner
+	})
+	if err != nil {
+		return
+	}
+	out := Announced{}
+	for _, h := range s.settings.Hosts {
+		if h.Name == owner {
+			out.Owner = "http://" + h.Listen
+		}
+	}
+	writeJSON(w, http.StatusOK, out)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// problemBody is the application/problem+json form (RFC 9457) of a refusal.
+type problemBody struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	work.Refusal
+}
+
+// problem answers with a refusal.
+func problem(w http.ResponseWriter, status int, r work.Refusal) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	if r.RetryAfter > 0 {
+		seconds := int((r.RetryAfter + time.Second - 1) / time.Second)
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(problemBody{Type: "about:blank", Title: title(r.Reason), Status: status, Refusal: r})
+}
--- /dev/null
+++ b/io/host/effect.go
@@ -0,0 +1,145 @@
+package host
+
+import (
+	"context"
+
+	"shallotgap/core/ident"
+	"shallotgap/core/work"
+	"shallotgap/core/world"
+	"shallotgap/io/peer"
+	"shallotgap/io/relay"
+)
+
+var _ peer.Receiver = (*Host)(nil)
+
+// carryOut does what the decision core wants. It must not block.
+func (h *Host) carryOut(ctx context.Context, e world.Effect) {
+	switch {
+	case e.Send != nil:
+		h.network.SendControl(e.Send.To, e.Send.Message)
+	case e.Write != nil:
+		h.writes <- *e.Write
+	case e.Forward != nil:
+		h.forward(*e.Forward)
+	case e.Dispatch != nil:
+		h.dispatch(ctx, *e.Dispatch)
+	case e.Abort != nil:
+		h.abort(e.Abort.ID)
+	case e.Refuse != nil:
+		h.refuse(*e.Refuse)
+	case e.Load != nil:
+		go func() {
+			done := h.client.Load(ctx, *e.Load)
+			h.post(world.Event{Loaded: &done})
+		}()
+	case e.Inspect != nil:
+		go func() {
+			done := h.client.Inspect(ctx, e.Inspect.Endpoint)
+			h.post(world.Event{Inspected: &done})
+		}()
+	case e.Proposed != nil:
+		h.settle(e.Proposed.Ticket, e.Proposed.Result)
+	case e.Asked != nil:
+		h.settle(e.Asked.Ticket, *e.Asked)
+	case e.Note != nil:
+		h.notes.add(*e.Note)
+	}
+}
+
+func (h *Host) forward(f world.Forward) {
+	call, ok := h.Relay.Take(f.Request.ID)
+	if !ok {
+		return
+	}
+	h.Relay.Forwarded(f.Request.ID, f.To)
+	frame := relay.Frame{Forward: &relay.Forward{Request: f.Request, Endpoint: f.Endpoint, Call: call}}
+	if h.network.SendData(f.To, frame) {
+		return
+	}
+	r := work.Refusal{Outcome: work.NotRun, Reason: work.LinkLost, Step: "forward", Peer: string(f.To), RetryAfter: world.RetryLater}
+	h.Relay.Deliver(relay.Chunk{ID: f.Request.ID, Refusal: &r})
+}
+
+// dispatch runs a request in its own goroutine and posts its end.
+func (h *Host) dispatch(ctx context.Context, d world.Dispatch) {
+	id := d.Request.ID
+	call, ok := h.Relay.Take(id)
+	if !ok {
+		e := world.Ended{ID: id, State: work.NotSent, Reason: work.LinkLost, Detail: "the request's body is gone"}
+		go h.post(world.Event{Ended: &e})
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	h.mu.Lock()
+	h.running[id] = cancel
+	h.mu.Unlock()
+	go func() {
+		ended := h.client.Run(ctx, d, call, func(c relay.Chunk) { h.emitChunk(d.From, c) })
+		cancel()
+		h.mu.Lock()
+		delete(h.running, id)
+		h.mu.Unlock()
+		if d.From != h.Settings.Name {
+			h.Relay.Drop(id)
+		}
+		h.post(world.Event{Ended: &ended})
+	}()
+}
+
+// emitChunk passes a piece of an answer to the entry host that holds the caller.
+func (h *Host) emitChunk(to ident.HostID, c relay.Chunk) {
+	if to == h.Settings.Name {
+		h.Relay.Deliver(c)
+		return
+	}
+	if !h.network.SendData(to, relay.Frame{Chunk: &c}) {
+		h.abortRepeatable(c.ID)
+	}
+}
+
+// abortRepeatable stops work whose entry host cannot be reached.
+func (h *Host) abortRepeatable(id ident.RequestID) {
+	go h.post(world.Event{Cancel: &world.Cancel{ID: id}})
+}
+
+func (h *Host) abort(id ident.RequestID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if cancel := h.running[id]; cancel != nil {
+		cancel()
+	}
+}
+
+func (h *Host) refuse(r world.Refuse) {
+	c := relay.Chunk{ID: r.ID, Refusal: &r.Refusal}
+	if r.To == h.Settings.Name {
+		h.Relay.Deliver(c)
+		return
+	}
+	h.Relay.Drop(r.ID)
+	h.network.SendData(r.To, relay.Frame{Chunk: &c})
+}
+
+// ReceiveControl hands a control message to the loop.
+func (h *Host) ReceiveControl(from ident.HostID, m world.Message) {
+	h.post(world.Event{Message: &world.Inbound{From: from, Message: m}})
+}
+
+// ReceiveData takes a frame of the data plane.
+func (h *Host) ReceiveData(from ident.HostID, f relay.Frame) {
+	switch {
+	case f.Forward != nil:
+		h.Relay.Keep(f.Forward.Request.ID, f.Forward.Call)
+		h.post(world.Event{Arrive: &world.Arrive{Request: f.Forward.Request, From: from, Endpoint: f.Forward.Endpoint}})
+	case f.Chunk != nil:
+		h.Relay.Deliver(*f.Chunk)
+	case f.Cancel != nil:
+		h.post(world.Event{Cancel: &world.Cancel{ID: *f.Cancel}})
+	}
+}
+
+// LinkLost breaks off what depended on the link.
+func (h *Host) LinkLost(lost ident.HostID) {
+	h.Relay.Lost(lost)
+	h.post(world.Event{LinkLost: &world.LinkLost{Host: lost}})
+}
--- /dev/null
+++ b/io/host/host.go
@@ -0,0 +1,184 @@
+// Package host runs one entry host: the loop that feeds the decision core and carries out its effects.
+package host
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"shallotgap/core/ident"
+	"shallotgap/core/world"
+	"shallotgap/io/conf"
+	"shallotgap/io/disk"
+	"shallotgap/io/engine"
+	"shallotgap/io/logs"
+	"shallotgap/io/peer"
+	"shallotgap/io/relay"
+)
+
+// tickEvery is the interval between ticks of the decision core.
+const tickEvery = 20 * time.Millisecond
+
+// inboxLength is the number of events that may wait for the loop.
+const inboxLength = 8192
+
+// Config is what a host is made from.
+type Config struct {
+	Settings conf.Settings
+	Callers  net.Listener
+	Peers    net.Listener
+	// Seed makes the host's random choices repeatable.
+	Seed uint64
+	// Dial replaces the way to other hosts; nil for TCP.
+	Dial peer.DialFunc
+}
+
+// Host is one running entry host.
+type Host struct {
+	logs.Common
+	Config
+	Relay       *relay.Table
+	Incarnation ident.Incarnation
+
+	world   *world.World
+	network *peer.Network
+	client  *engine.Client
+	store   *disk.Store
+	inbox   chan func(*world.World) *world.Event
+	writes  chan world.Write
+
+	mu      sync.Mutex
+	running map[ident.RequestID]context.CancelFunc
+	tickets map[world.Ticket]chan any
+	ticket  world.Ticket
+	seq     uint64
+	notes   notebook
+}
+
+// New opens the data folder, if there is one, and returns a host that is not running yet.
+func New(common logs.Common, c Config) (*Host, error) {
+	h := &Host{
+		Common:      common,
+		Config:      c,
+		Relay:       relay.New(),
+		Incarnation: ident.Incarnation(time.Now().UnixNano()),
+		client:      engine.New(common),
+		inbox:       make(chan func(*world.World) *world.Event, inboxLength),
+		writes:      make(chan world.Write, inboxLength),
+		running:     map[ident.RequestID]context.CancelFunc{},
+		tickets:     map[world.Ticket]chan any{},
+	}
+	h.network = peer.New(common, peer.Config{Self: c.Settings.Name, Hosts: c.Settings.Hosts, Listener: c.Peers, Receiver: h, Dial: c.Dial})
+	return h, h.open()
+}
+
+func (h *Host) open() error {
+	c := world.Config{
+		Self:        h.Settings.Name,
+		Incarnation: h.Incarnation,
+		Peers:       h.Settings.Peers(),
+		Params:      h.Settings.Params,
+		Rand:        rand.New(rand.NewPCG(h.Seed, uint64(h.Incarnation))),
+		Now:         h.now(),
+	}
+	if h.Settings.DataFolder != "" {
+		store, stored, err := disk.Open(h.Settings.DataFolder)
+		if err != nil {
+			return err
+		}
+		h.store = store
+		c.Stored = &stored
+	}
+	w, err := world.New(c)
+	h.world = w
+	return err
+}
+
+func (h *Host) now() ident.Time { return ident.Time(h.Since()) }
+
+// Run serves until the context ends or the disk fails.
+func (h *Host) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return h.network.Run(ctx) })
+	group.Go(func() error { return h.loop(ctx) })
+	if h.store != nil {
+		group.Go(func() error { return h.writeAll(ctx) })
+	}
+	return group.Wait()
+}
+
+// loop is the only goroutine that touches the world.
+func (h *Host) loop(ctx context.Context) error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		var event *world.Event
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			event = &world.Event{}
+		case f := <-h.inbox:
+			event = f(h.world)
+		}
+		if event == nil {
+			continue
+		}
+		in := world.Input{Now: h.now(), Wall: time.Now().Unix(), Event: *event}
+		for _, e := range h.world.Handle(in) {
+			h.carryOut(ctx, e)
+		}
+	}
+}
+
+// post hands an event to the loop.
+func (h *Host) post(e world.Event) {
+	h.inbox <- func(*world.World) *world.Event { return &e }
+}
+
+// View runs f in the loop; f must not change the world or keep what it reads.
+func (h *Host) View(ctx context.Context, f func(*world.World)) error {
+	done := make(chan struct{})
+	look := func(w *world.World) *world.Event {
+		f(w)
+		close(done)
+		return nil
+	}
+	select {
+	case h.inbox <- look:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// writeAll makes writes durable in order, several with one sync where they wait together.
+func (h *Host) writeAll(ctx context.Context) error {
+	defer func() { _ = h.store.Close() }()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case w := <-h.writes:
+			if err := h.store.Write(w); err != nil {
+				return fmt.Errorf("disk failed, the host stops: %w", err)
+			}
+			for _, out := range w.Then {
+				h.network.SendControl(out.To, out.Message)
+			}
+			if w.Seq != 0 {
+				h.post(world.Event{Written: &world.Written{Seq: w.Seq}})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/io/logs/logs.go
@@ -0,0 +1,29 @@
+// Package logs sets up the process log and the struct that components embed.
+package logs
+
+import (
+	"io"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/logfmt"
+)
+
+// Common is what every component of the edge embeds: its log and a monotonic clock.
+type Common struct {
+	Log   log.Interface
+	Start time.Time
+}
+
+// New returns a Common that writes one key=value line an event to w.
+func New(w io.Writer, host, level string) (Common, error) {
+	parsed, err := log.ParseLevel(level)
+	if err != nil {
+		return Common{}, err
+	}
+	logger := &log.Logger{Handler: logfmt.New(w), Level: parsed}
+	return Common{Log: logger.WithField("host", host), Start: time.Now()}, nil
+}
+
+// Since returns the monotonic time since the process started.
+func (c Common) Since() time.Duration { return time.Since(c.Start) }
--- /dev/null
+++ b/io/peer/peer.go
@@ -0,0 +1,261 @@
+// Package peer carries messages between hosts as CBOR in WebSocket messages.
+//
+// A host dials every other host and sends on the links that it dialled; it receives on those it accepted.
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"golang.org/x/sync/errgroup"
+
+	"shallotgap/core/ident"
+	"shallotgap/core/wire"
+	"shallotgap/core/world"
+	"shallotgap/io/conf"
+	"shallotgap/io/logs"
+	"shallotgap/io/relay"
+)
+
+// Frame is what travels on a link; exactly one of Control and Data is set, besides From.
+type Frame struct {
+	From    ident.HostID   `json:"from"`
+	Control *world.Message `json:"control,omitempty"`
+	Data    *relay.Frame   `json:"data,omitempty"`
+}
+
+// Bounds of a link.
+const (
+	queueLength  = 4096      // frames that wait for a slow link
+	maxFrame     = 300 << 20 // bytes of a received message
+	redialAfter  = 200 * time.Millisecond
+	writeTimeout = 5 * time.Second
+)
+
+// Receiver takes what arrives. It is the narrow side that the host loop implements.
+type Receiver interface {
+	ReceiveControl(from ident.HostID, m world.Message)
+	ReceiveData(from ident.HostID, f relay.Frame)
+	// LinkLost tells that frames to or from a host may have been lost.
+	LinkLost(h ident.HostID)
+}
+
+// Config is what a network is made from.
+type Config struct {
+	Self     ident.HostID
+	Hosts    []conf.Host
+	Listener net.Listener
+	Receiver Receiver
+	// Dial opens the connection to a host; nil dials over TCP. Tests cut links with it.
+	Dial DialFunc
+}
+
+// DialFunc opens a connection to the peer address of a host.
+type DialFunc func(ctx context.Context, to ident.HostID, address string) (net.Conn, error)
+
+// dialTCP is the DialFunc of a running system.
+func dialTCP(ctx context.Context, _ ident.HostID, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Network is this host's links to all other hosts.
+type Network struct {
+	logs.Common
+	Config
+	links map[ident.HostID]*link
+	mu    sync.Mutex
+}
+
+// link is the sending side to one host.
+type link struct {
+	host  conf.Host
+	queue chan Frame
+	up    bool
+}
+
+// New returns a network that is not running yet.
+func New(common logs.Common, c Config) *Network {
+	if c.Dial == nil {
+		c.Dial = dialTCP
+	}
+	n := &Network{Common: common, Config: c, links: map[ident.HostID]*link{}}
+	for _, h := range c.Hosts {
+		if h.Name != c.Self {
+			n.links[h.Name] = &link{host: h, queue: make(chan Frame, queueLength)}
+		}
+	}
+	return n
+}
+
+// Run keeps all links up until the context ends.
+func (n *Network) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	server := &http.Server{Handler: http.HandlerFunc(n.accept), ReadHeaderTimeout: writeTimeout, BaseContext: func(net.Listener) context.Context { return ctx }}
+	group.Go(func() error {
+		if err := server.Serve(n.Listener); err != nil && ctx.Err() == nil {
+			return fmt.Errorf("serve peers: %w", err)
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+	for _, l := range n.links {
+		group.Go(func() error { return n.keep(ctx, l) })
+	}
+	return group.Wait()
+}
+
+// SendControl queues a control message; it is dropped when the link is down or too slow, and the sender's
+// own timeouts repeat it.
+func (n *Network) SendControl(to ident.HostID, m world.Message) {
+	if l := n.links[to]; l != nil && n.isUp(l) {
+		select {
+		case l.queue <- Frame{From: n.Self, Control: &m}:
+		default:
+		}
+	}
+}
+
+// SendData queues a data frame and reports whether the link could take it.
+func (n *Network) SendData(to ident.HostID, f relay.Frame) bool {
+	l := n.links[to]
+	if l == nil || !n.isUp(l) {
+		return false
+	}
+	select {
+	case l.queue <- Frame{From: n.Self, Data: &f}:
+		return true
+	default:
+		return false
+	}
+}
+
+func (n *Network) isUp(l *link) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return l.up
+}
+
+func (n *Network) setUp(l *link, up bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l.up = up
+}
+
+// keep dials a host again and again.
+func (n *Network) keep(ctx context.Context, l *link) error {
+	for ctx.Err() == nil {
+		err := n.dial(ctx, l)
+		if ctx.Err() != nil {
+			return nil
+		}
+		n.Log.WithField("step", "link").WithField("peer", l.host.Name).WithError(err).Debug("link-down")
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialAfter):
+		}
+	}
+	return nil
+}
+
+func (n *Network) dial(ctx context.Context, l *link) error {
+	dialCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	conn, _, err := websocket.Dial(dialCtx, "ws://"+l.host.Peer+"/", &websocket.DialOptions{HTTPClient: n.clientFor(l)})
+	if err != nil {
+		return fmt.Errorf("dial peer %s: %w", l.host.Name, err)
+	}
+	defer func() { _ = conn.CloseNow() }()
+	drain(l.queue)
+	n.setUp(l, true)
+	n.Log.WithField("peer", l.host.Name).Info("link-up")
+	err = n.write(conn.CloseRead(ctx), conn, l)
+	n.setUp(l, false)
+	n.Receiver.LinkLost(l.host.Name)
+	return err
+}
+
+// clientFor returns a client with one connection to a host.
+func (n *Network) clientFor(l *link) *http.Client {
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
+		return n.Dial(ctx, l.host.Name, address)
+	}
+	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
+}
+
+func drain(queue chan Frame) {
+	for {
+		select {
+		case <-queue:
+		default:
+			return
+		}
+	}
+}
+
+func (n *Network) write(ctx context.Context, conn *websocket.Conn, l *link) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case f := <-l.queue:
+			if err := writeFrame(ctx, conn, f); err != nil {
+				return fmt.Errorf("write to peer %s: %w", l.host.Name, err)
+			}
+		}
+	}
+}
+
+func writeFrame(ctx context.Context, conn *websocket.Conn, f Frame) error {
+	data, err := wire.Marshal(f)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return conn.Write(ctx, websocket.MessageBinary, data)
+}
+
+// accept receives on a link that another host dialled.
+func (n *Network) accept(w http.ResponseWriter, r *http.Request) {
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.CloseNow() }()
+	conn.SetReadLimit(maxFrame)
+	var from ident.HostID
+	for {
+		_, data, err := conn.Read(r.Context())
+		if err != nil {
+			break
+		}
+		var f Frame
+		if err := wire.Unmarshal(data, &f); err != nil {
+			n.Log.WithField("step", "receive").WithError(err).Warn("bad-frame")
+			break
+		}
+		from = f.From
+		n.pass(f)
+	}
+	if from != "" && r.Context().Err() == nil {
+		n.Receiver.LinkLost(from)
+	}
+}
+
+func (n *Network) pass(f Frame) {
+	switch {
+	case f.Control != nil:
+		n.Receiver.ReceiveControl(f.From, *f.Control)
+	case f.Data != nil:
+		n.Receiver.ReceiveData(f.From, *f.Data)
+	}
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,10 @@
+// Command shallotgap serves very many LoRA adapters over shared base models.
+package main
+
+import (
+	"os"
+
+	"shallotgap/io/cmds"
+)
+
+func main() { os.Exit(cmds.Run(os.Args[1:], os.Stdout, os.Stderr)) }
