Split the world's owner side by concept

Cause: own.go held five jobs (sites, dispatch, claims, loads, reports), lead.go two. Change: one file per concept, no change of behaviour; ruled out: splitting into packages, as they share the tables. Conclusion: each area can be worked on side by side.

--- /dev/null
+++ b/core/world/dispatch.go
@@ -0,0 +1,71 @@
+package world
+
+import (
+	"shallotgap/core/claim"
+	"shallotgap/core/place"
+	"shallotgap/core/work"
+)
+
+// dispatch sends what can run, most urgent first, and asks for the loads that the rest needs.
+func (w *World) dispatch() {
+	if !w.Serving() {
+		return
+	}
+	for _, id := range sortedKeys(w.sites) {
+		w.dispatchSite(w.sites[id])
+	}
+}
+
+func (w *World) dispatchSite(site *place.Site) {
+	for _, it := range append([]*place.Item(nil), site.Queue...) {
+		if !site.Ready(it) || it.Claiming {
+			continue
+		}
+		if it.Once() && !it.Claimed {
+			w.openClaim(it)
+			continue
+		}
+		w.start(site, it)
+	}
+}
+
+func (w *World) start(site *place.Site, it *place.Item) {
+	site.Start(it, w.now)
+	w.note(it.ID, "dispatch", "the adapter is resident and the batch has room", string(site.ID))
+	r := it.Request
+	r.Left = it.Deadline.Sub(w.now)
+	w.emit(Effect{Dispatch: &Dispatch{Request: r, From: it.From, Endpoint: site.Owned, Until: w.holder.Until()}})
+}
+
+// giveUp refuses a request that has not been dispatched, and releases its claim.
+func (w *World) giveUp(it *place.Item, r work.Refusal) {
+	w.drop(it)
+	if it.Claimed {
+		w.closeClaim(it, claim.Released, nil)
+	}
+	w.refuse(it.ID, it.From, r)
+}
+
+// ended takes the end of a dispatched request.
+func (w *World) ended(e Ended) {
+	it := w.items[e.ID]
+	if it == nil {
+		return
+	}
+	if site := w.sites[it.Endpoint]; site != nil {
+		site.End(it, w.now)
+	}
+	delete(w.items, e.ID)
+	w.note(e.ID, "answer", string(e.State)+" "+e.Detail, string(it.Endpoint))
+	if it.Once() {
+		w.closeClaim(it, claimState(e.State), e.Answer)
+	}
+	if e.State == work.Answered {
+		return
+	}
+	r := work.Refusal{Outcome: work.InDoubt, Reason: e.Reason, Step: "dispatch", Peer: string(it.Endpoint), RetryAfter: RetryLater}
+	if e.State == work.NotSent {
+		r.Outcome = work.NotRun
+	}
+	w.refuse(e.ID, it.From, r)
+}
--- a/core/world/lead.go
+++ b/core/world/lead.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"shallotgap/core/claim"
-	"shallotgap/core/drain"
 	"shallotgap/core/feed"
 	"shallotgap/core/ident"
 	"shallotgap/core/lease"
@@ -164,89 +162,5 @@
 	}
 }
 
-// assign gives endpoints without a living owner to the host that owns the fewest.
-func (l *leadership) assign(w *World) {
-	counts := l.ownedCounts(w)
-	for _, e := range w.state.Owners.List() {
-		if from, busy := l.assigning[e.ID]; busy && from == e.Fence {
-			continue
-		}
-		if !l.needsOwner(w, e) {
-			continue
-		}
-		to, ok := l.pickOwner(w, e, counts)
-		if !ok {
-			continue
-		}
-		counts[to]++
-		l.assigning[e.ID] = e.Fence
-		a := lease.Assign{Endpoint: e.ID, Owner: to, From: e.Fence}
-		l.propose(w, w.Self, Proposal{Command: state.Command{Assign: &a}})
-	}
-}
-
-func (l *leadership) needsOwner(w *World, e lease.Owned) bool {
-	if e.Owner == "" {
-		return true
-	}
-	return l.granter.Expired(e.Owner, w.now)
-}
-
-func (l *leadership) ownedCounts(w *World) map[ident.HostID]int {
-	counts := map[ident.HostID]int{}
-	for _, p := range w.Peers {
-		if l.granter.Alive(p.Host, w.now) && !w.state.Stops.Stopping(drain.Host, string(p.Host)) {
-			counts[p.Host] = 0
-		}
-	}
-	for _, e := range w.state.Owners.List() {
-		if _, ok := counts[e.Owner]; ok {
-			counts[e.Owner]++
-		}
-	}
-	return counts
-}
-
-// pickOwner prefers few endpoints, then the endpoint's own failure domain, then the lower name.
-func (l *leadership) pickOwner(w *World, e lease.Owned, counts map[ident.HostID]int) (ident.HostID, bool) {
-	best, found := ident.HostID(""), false
-	for _, p := range w.Peers {
-		n, ok := counts[p.Host]
-		if !ok {
-			continue
-		}
-		if !found || n < counts[best] || (n == counts[best] && p.Domain == e.Domain && w.domain(best) != e.Domain) {
-			best, found = p.Host, true
-		}
-	}
-	return best, found
-}
-
-func (w *World) domain(h ident.HostID) ident.DomainID {
-	for _, p := range w.Peers {
-		if p.Host == h {
-			return p.Domain
-		}
-	}
-	return ""
-}
-
-// abandon turns the open claims of lost host runs into in-doubt ones.
-func (l *leadership) abandon(w *World) {
-	for _, h := range w.state.Claims.Holders() {
-		current := l.granter.Incarnation(h)
-		if l.granter.Expired(h, w.now) {
-			current = 0
-		} else if current == 0 {
-			continue
-		}
-		if !w.state.Claims.Stale(h, current) || w.now.Sub(l.abandoning[h]) < time.Second {
-			continue
-		}
-		l.abandoning[h] = w.now
-		l.propose(w, w.Self, Proposal{Command: state.Command{Abandon: &claim.Abandon{Host: h, Current: current}}})
-	}
-}
-
 // sortedKeys returns the keys of m in order.
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/core/world/loads.go
@@ -0,0 +1,72 @@
+package world
+
+import (
+	"slices"
+
+	"shallotgap/core/place"
+	"shallotgap/core/work"
+)
+
+func (w *World) wants(site *place.Site) []place.Want {
+	var list []place.Want
+	for _, m := range site.Wants() {
+		if _, ok := site.Room(w.now); !ok {
+			break
+		}
+		waiting := 0
+		for _, it := range site.Queue {
+			if it.Model == m {
+				waiting++
+			}
+		}
+		list = append(list, place.Want{Endpoint: site.ID, Model: m, Waiting: waiting})
+	}
+	return list
+}
+
+// granted starts a load that the leader allows, or gives the grant back.
+func (w *World) granted(g place.Grant) {
+	site := w.sites[g.Endpoint]
+	if site == nil || !w.Serving() || !slices.Contains(site.Wants(), g.Model) {
+		w.returnGrant(g)
+		return
+	}
+	evict, ok := site.Room(w.now)
+	if !ok {
+		w.returnGrant(g)
+		return
+	}
+	if evict != nil {
+		delete(site.Slots, *evict)
+	}
+	site.Slots[g.Model] = &place.Slot{Model: g.Model, Loading: true, LastUse: w.now}
+	w.emit(Effect{Load: &Load{Endpoint: site.Owned, Model: g.Model, Evict: evict, Until: w.holder.Until()}})
+}
+
+func (w *World) returnGrant(g place.Grant) {
+	if w.leader != "" {
+		w.send(w.leader, Message{Done: &g})
+	}
+}
+
+func (w *World) loaded(l Loaded) {
+	w.returnGrant(place.Grant{Endpoint: l.Endpoint, Model: l.Model})
+	site := w.sites[l.Endpoint]
+	if site == nil || site.Fence != l.Fence {
+		return
+	}
+	slot := site.Slots[l.Model]
+	if slot == nil {
+		return
+	}
+	if l.Err == "" {
+		slot.Loading = false
+		return
+	}
+	delete(site.Slots, l.Model)
+	for _, it := range append([]*place.Item(nil), site.Queue...) {
+		if it.Model == l.Model {
+			w.giveUp(it, work.Refusal{Outcome: work.NotRun, Reason: work.LoadFailed, Step: "load", Peer: string(site.ID), RetryAfter: RetryLater})
+		}
+	}
+}
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -263,19 +263,3 @@
 
 // Serving reports whether this host's lease is valid.
 func (w *World) Serving() bool { return w.holder.Valid(w.now) }
-
-// Reports returns what this host knows of the load and residency of all endpoints, in order.
-func (w *World) Reports() []place.Report {
-	all := map[ident.EndpointID]place.Report{}
-	for id, r := range w.reports {
-		all[id] = r
-	}
-	for id, site := range w.sites {
-		all[id] = site.Report()
-	}
-	list := make([]place.Report, 0, len(all))
-	for _, id := range sortedKeys(all) {
-		list = append(list, all[id])
-	}
-	return list
-}
