Give returning endpoints an owner, and stop scanning all endpoints at every event

Cause: the leader barred a second assignment by the fencing number it replaces; an endpoint that departed and came back starts at number 0 again, so it stayed without an owner for the rest of the term. Separately, every event on every host copied and walked all endpoints to match the owned ones, and the leader did so at every tick. Ruled out: keeping departed endpoints for their fencing number (grows with every restart). Change: the bar is the index of the proposal; ownership has a revision, and hosts match only when it has changed; the leader looks for endpoints without an owner every 100 ms.

--- a/core/lease/owners.go
+++ b/core/lease/owners.go
@@ -5,6 +5,8 @@
 package lease
 
 import (
+	"iter"
+
 	"shallotgap/core/ident"
 	"shallotgap/core/table"
 )
@@ -56,6 +58,7 @@
 // Owners is the deterministic state machine of endpoint ownership.
 type Owners struct {
 	endpoints *table.Table[ident.EndpointID, Owned]
+	revision  uint64
 }
 
 // NewOwners returns an empty state.
@@ -64,7 +67,13 @@
 // Get returns an endpoint and whether it is known.
 func (o *Owners) Get(id ident.EndpointID) (Owned, bool) { return o.endpoints.Get(id) }
 
-// List returns all endpoints in order.
+// Revision changes with every change of the state; a system that saw the current one has nothing to do.
+func (o *Owners) Revision() uint64 { return o.revision }
+
+// All iterates over the endpoints in order, without a copy. The state must not change meanwhile.
+func (o *Owners) All() iter.Seq2[ident.EndpointID, Owned] { return o.endpoints.All() }
+
+// List returns a copy of all endpoints in order.
 func (o *Owners) List() []Owned {
 	list := make([]Owned, 0, o.endpoints.Len())
 	for _, e := range o.endpoints.All() {
@@ -76,13 +85,14 @@
 // Announce stores what an endpoint says of itself, keeping its owner.
 func (o *Owners) Announce(e Endpoint) {
 	old, _ := o.endpoints.Get(e.ID)
-	o.endpoints.Put(e.ID, Owned{Endpoint: e, Owner: old.Owner, Fence: old.Fence})
+	o.put(Owned{Endpoint: e, Owner: old.Owner, Fence: old.Fence})
 }
 
 // Depart forgets an endpoint that has left, unless a newer instance was announced.
 func (o *Owners) Depart(id ident.EndpointID, instance ident.Incarnation) {
 	if e, ok := o.endpoints.Get(id); ok && e.Instance == instance {
 		o.endpoints.Delete(id)
+		o.revision++
 	}
 }
 
@@ -94,14 +104,19 @@
 	}
 	e.Owner = a.Owner
 	e.Fence = ident.Fence(i)
-	o.endpoints.Put(a.Endpoint, e)
+	o.put(e)
+}
+
+func (o *Owners) put(e Owned) {
+	o.endpoints.Put(e.ID, e)
+	o.revision++
 }
 
 // RestoreOwners returns the state that List was taken from.
 func RestoreOwners(list []Owned) *Owners {
 	o := NewOwners()
 	for _, e := range list {
-		o.endpoints.Put(e.ID, e)
+		o.put(e)
 	}
 	return o
 }
--- a/core/world/assign.go
+++ b/core/world/assign.go
@@ -10,11 +10,18 @@
 	"shallotgap/core/state"
 )
 
+// assignEvery is the interval at which the leader looks for endpoints without a living owner.
+const assignEvery = 100 * time.Millisecond
+
 // assign gives endpoints without a living owner to the host that owns the fewest.
 func (l *leadership) assign(w *World) {
+	if w.now < l.assignAt {
+		return
+	}
+	l.assignAt = w.now.Add(assignEvery)
 	counts := l.ownedCounts(w)
-	for _, e := range w.state.Owners.List() {
-		if from, busy := l.assigning[e.ID]; busy && from == e.Fence {
+	for _, e := range w.state.Owners.All() {
+		if l.assigning[e.ID] > w.state.Applied {
 			continue
 		}
 		if !l.needsOwner(w, e) {
@@ -25,9 +32,8 @@
 			continue
 		}
 		counts[to]++
-		l.assigning[e.ID] = e.Fence
 		a := lease.Assign{Endpoint: e.ID, Owner: to, From: e.Fence}
-		l.propose(w, w.Self, Proposal{Command: state.Command{Assign: &a}})
+		l.assigning[e.ID] = l.propose(w, w.Self, Proposal{Command: state.Command{Assign: &a}})
 	}
 }
 
@@ -45,7 +51,7 @@
 			counts[p.Host] = 0
 		}
 	}
-	for _, e := range w.state.Owners.List() {
+	for _, e := range w.state.Owners.All() {
 		if _, ok := counts[e.Owner]; ok {
 			counts[e.Owner]++
 		}
--- a/core/world/lead.go
+++ b/core/world/lead.go
@@ -21,12 +21,13 @@
 	granter *lease.Granter
 	budget  *place.Budget
 	waiting map[ident.Index]proposer
-	// assigning and abandoning bar a second proposal while the first one is not applied.
-	assigning  map[ident.EndpointID]ident.Fence
+	// assigning holds the index of the latest assignment proposed; abandoning the time of the latest proposal.
+	assigning  map[ident.EndpointID]ident.Index
 	abandoning map[ident.HostID]ident.Time
 	// accepted are the latest public commands with the time of their acceptance, oldest first.
 	accepted []acceptance
 	pushed   ident.Index
+	assignAt ident.Time
 }
 
 type proposer struct {
@@ -45,26 +46,29 @@
 		granter:    lease.NewGranter(w.Params.Lease, w.now),
 		budget:     &place.Budget{Rate: w.Params.StoreRate, InFlight: w.Params.StoreInFlight},
 		waiting:    map[ident.Index]proposer{},
-		assigning:  map[ident.EndpointID]ident.Fence{},
+		assigning:  map[ident.EndpointID]ident.Index{},
 		abandoning: map[ident.HostID]ident.Time{},
 		pushed:     w.state.Applied,
 	}
 }
 
-// propose appends a command for a host and remembers whom to answer.
-func (l *leadership) propose(w *World, from ident.HostID, p Proposal) {
+// propose appends a command for a host, remembers whom to answer, and returns the index, or 0.
+func (l *leadership) propose(w *World, from ident.HostID, p Proposal) ident.Index {
 	if l == nil {
-		return
+		return 0
 	}
 	p.Command.Wall = w.wall
 	data, err := wire.Marshal(p.Command)
 	if err != nil {
 		w.send(from, Message{Proposed: &Proposed{Ticket: p.Ticket, Result: state.Result{Err: err.Error()}}})
-		return
+		return 0
 	}
-	if i, err := w.node.Propose(data); err == nil {
-		l.waiting[i] = proposer{host: from, ticket: p.Ticket}
+	i, err := w.node.Propose(data)
+	if err != nil {
+		return 0
 	}
+	l.waiting[i] = proposer{host: from, ticket: p.Ticket}
+	return i
 }
 
 // applied answers the proposer of an entry, if this leader appended it.
--- a/core/world/own.go
+++ b/core/world/own.go
@@ -9,8 +9,19 @@
 	"shallotgap/core/work"
 )
 
+// ownersSeen is the replicated ownership that the sites were last matched with.
+type ownersSeen struct {
+	state    *lease.Owners
+	revision uint64
+}
+
 // syncSites makes the owned endpoints match the replicated state.
 func (w *World) syncSites() {
+	seen := ownersSeen{state: w.state.Owners, revision: w.state.Owners.Revision()}
+	if seen == w.ownersSeen {
+		return
+	}
+	w.ownersSeen = seen
 	for _, id := range sortedKeys(w.sites) {
 		e, ok := w.state.Owners.Get(id)
 		site := w.sites[id]
@@ -23,7 +34,7 @@
 		}
 		site.Endpoint = e.Endpoint
 	}
-	for _, e := range w.state.Owners.List() {
+	for _, e := range w.state.Owners.All() {
 		if e.Owner == w.Self && w.sites[e.ID] == nil {
 			w.takeSite(e)
 		}
--- a/core/world/stops.go
+++ b/core/world/stops.go
@@ -32,7 +32,7 @@
 }
 
 func (l *leadership) ownsAny(w *World, h ident.HostID) bool {
-	for _, e := range w.state.Owners.List() {
+	for _, e := range w.state.Owners.All() {
 		if e.Owner == h {
 			return true
 		}
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -102,12 +102,13 @@
 	pending map[Ticket]*pending
 	asking  map[Ticket]*asking
 
-	sites    map[ident.EndpointID]*place.Site
-	items    map[ident.RequestID]*place.Item
-	forwards map[ident.RequestID]forwarded
-	reports  map[ident.EndpointID]place.Report
-	reportAt ident.Time
-	sent     map[ident.EndpointID]string
+	sites      map[ident.EndpointID]*place.Site
+	ownersSeen ownersSeen
+	items      map[ident.RequestID]*place.Item
+	forwards   map[ident.RequestID]forwarded
+	reports    map[ident.EndpointID]place.Report
+	reportAt   ident.Time
+	sent       map[ident.EndpointID]string
 }
 
 // mark is the end of the log that a write makes durable.
