Try: share equal strings of rows

Cause: each decoded row holds its own copy of workspace and version names. Change: names pass through the standard library's unique package.

--- a/core/rows/rows.go
+++ b/core/rows/rows.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"fmt"
+	"unique"
 
 	"shallotgap/core/ident"
 	"shallotgap/core/table"
@@ -142,12 +143,24 @@
 		t.rows.Delete(e.Key)
 		return nil
 	}
-	next := *e.Row
+	next := compact(*e.Row)
 	next.RowVersion = ident.RowVersion(i)
-	t.rows.Put(e.Key, next)
+	t.put(next)
 	return &next
 }
 
+func (t *Table) put(r Row) { t.rows.Put(KeyOf(r.Workspace, r.Adapter), r) }
+
+// compact returns the row with strings that equal rows share: a decoded row has one of its own for every name.
+func compact(r Row) Row {
+	r.Workspace = shared(r.Workspace)
+	r.Version = shared(r.Version)
+	r.Previous = shared(r.Previous)
+	return r
+}
+
+func shared[S ~string](s S) S { return S(unique.Make(string(s)).Value()) }
+
 func conflictWith(i ident.Index, current Row, exists bool) Result {
 	res := Result{Verdict: Conflict, Index: i, Reason: "the row was changed meanwhile"}
 	if exists {
@@ -222,7 +235,7 @@
 func Restore(s Snapshot) *Table {
 	t := New()
 	for _, r := range s.Rows {
-		t.rows.Put(KeyOf(r.Workspace, r.Adapter), r)
+		t.put(compact(r))
 	}
 	for i, id := range s.Edits {
 		t.results[id] = s.Results[i]
