--- a/core/rows/rows.go
+++ b/core/rows/rows.go
@@ -4,7 +4,6 @@
 import (
 	"errors"
 	"fmt"
-	"unique"
 
 	"shallotgap/core/ident"
 	"shallotgap/core/table"
@@ -143,24 +142,12 @@
 		t.rows.Delete(e.Key)
 		return nil
 	}
-	next := compact(*e.Row)
+	next := *e.Row
 	next.RowVersion = ident.RowVersion(i)
-	t.put(next)
+	t.rows.Put(e.Key, next)
 	return &next
 }
 
-func (t *Table) put(r Row) { t.rows.Put(KeyOf(r.Workspace, r.Adapter), r) }
-
-// compact returns the row with strings that equal rows share: a decoded row has one of its own for every name.
-func compact(r Row) Row {
-	r.Workspace = shared(r.Workspace)
-	r.Version = shared(r.Version)
-	r.Previous = shared(r.Previous)
-	return r
-}
-
-func shared[S ~string](s S) S { return S(unique.Make(string(s)).Value()) }
-
 func conflictWith(i ident.Index, current Row, exists bool) Result {
 	res := Result{Verdict: Conflict, Index: i, Reason: "the row was changed meanwhile"}
 	if exists {
@@ -235,7 +222,7 @@
 func Restore(s Snapshot) *Table {
 	t := New()
 	for _, r := range s.Rows {
-		t.put(compact(r))
+		t.rows.Put(KeyOf(r.Workspace, r.Adapter), r)
 	}
 	for i, id := range s.Edits {
 		t.results[id] = s.Results[i]
