Expire claims by a heap of their ends instead of a scan at every claim

Cause: every committed claim walked all records to find the expired ones, so its cost grew with the records held. Ruled out: expiring only every n-th claim (the same cost in bursts, on the leader's loop).

--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"slices"
 
 	"shallotgap/core/ident"
@@ -91,6 +92,7 @@
 	records map[Name]*Record
 	// byHost holds the names of claims that are still open.
 	byHost map[ident.HostID]map[Name]struct{}
+	ends   expiries
 }
 
 // NewBook returns an empty book.
@@ -179,17 +181,9 @@
 	return list
 }
 
-// Expire forgets the records whose life ended before the wall-clock second now.
-func (b *Book) Expire(now int64) {
-	for name, r := range b.records {
-		if r.Expires < now && r.State != Claimed {
-			delete(b.records, name)
-		}
-	}
-}
-
 func (b *Book) put(r *Record) {
 	b.records[r.Name] = r
+	heap.Push(&b.ends, expiry{at: r.Expires, name: r.Name, request: r.Request})
 	if r.State != Claimed {
 		return
 	}
--- /dev/null
+++ b/fakes/sizes/claims_test.go
@@ -0,0 +1,68 @@
+package sizes
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"shallotgap/core/claim"
+	"shallotgap/core/ident"
+	"shallotgap/core/state"
+	"shallotgap/core/wire"
+)
+
+func open(n int) state.Command {
+	return state.Command{Wall: int64(n), Open: &claim.Open{
+		Name:    claim.Name{Workspace: Workspace(n), Key: ident.Key(fmt.Sprintf("release-%08d", n))},
+		Request: ident.RequestID{Host: HostName(0), Incarnation: 1, Seq: uint64(n)},
+		Holder:  claim.Holder{Host: HostName(0), Incarnation: 1},
+		Expires: int64(n) + 1_000_000,
+	}}
+}
+
+func finish(o *claim.Open) state.Command {
+	return state.Command{Close: &claim.Close{Name: o.Name, Request: o.Request, State: claim.Done, Answer: &claim.Answer{Status: 200, Body: make([]byte, 256)}}}
+}
+
+// BenchmarkClaim is the state machine's cost of one claim and its outcome beside the records that it holds.
+func BenchmarkClaim(b *testing.B) {
+	for _, held := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("records=%d", held), func(b *testing.B) {
+			before := heap()
+			st := state.New()
+			index := ident.Index(0)
+			run := func(n int) {
+				o := open(n)
+				st.Apply(index+1, o)
+				st.Apply(index+2, finish(o.Open))
+				index += 2
+			}
+			for n := range held {
+				run(n)
+			}
+			perRecord := float64(heap()-before) / float64(held)
+			data, err := wire.Marshal(st.Snapshot(true))
+			assert.NilError(b, err)
+			n := held
+			for b.Loop() {
+				run(n)
+				n++
+			}
+			b.ReportMetric(perRecord, "heap-B/record")
+			b.ReportMetric(float64(len(data))/float64(held), "snapshot-B/record")
+			runtime.KeepAlive(st)
+		})
+	}
+}
+
+// BenchmarkSnapshot is the time that a voter's loop spends on a snapshot of everything.
+func BenchmarkSnapshot(b *testing.B) {
+	forSizes(b, func(b *testing.B, _ Size, st *state.State) {
+		for b.Loop() {
+			_, err := wire.Marshal(st.Snapshot(true))
+			assert.NilError(b, err)
+		}
+	})
+}
