Answer address queries with living hosts, spread, and with the owner first

Cause: every caller of a failure domain was given the same first host, hosts that had failed stayed in the answer, and a caller that knew its model still paid a hop to the owner. Ruled out: a list of all hosts in every renewal (grows with the hosts; the hosts without a lease are few); health checks between all entry hosts (their messages grow with the square of the hosts). Change: the leader's renewal replies name the hosts without a lease; the ranking is a decision of the core; the query takes model= or service= and then names the owner first.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -34,6 +34,8 @@
 	Incarnation ident.Incarnation `json:"incarnation"`
 	// Refused is set when the host is too far behind to serve.
 	Refused bool `json:"refused,omitempty"`
+	// Down are the hosts whose leases have run out, for the address answers.
+	Down []ident.HostID `json:"down,omitempty"`
 }
 
 // Holder is a host's own view of its lease.
@@ -122,6 +124,17 @@
 	return now.Sub(heard) > g.Length+g.Margin
 }
 
+// Down returns those of the hosts that hold no lease any more, in the given order.
+func (g *Granter) Down(hosts []ident.HostID, now ident.Time) []ident.HostID {
+	var list []ident.HostID
+	for _, h := range hosts {
+		if g.Expired(h, now) {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
 // Applied returns the index that h said it had applied, and whether its lease may still run.
 func (g *Granter) Applied(h ident.HostID, now ident.Time) (ident.Index, bool) {
 	c := g.hosts[h]
--- a/core/world/control.go
+++ b/core/world/control.go
@@ -51,6 +51,7 @@
 	case m.Renewed != nil:
 		w.leader = from
 		w.holder.Extend(*m.Renewed)
+		w.down = m.Renewed.Down
 	case m.Update != nil:
 		w.follow(*m.Update)
 	case m.Propose != nil:
--- a/core/world/lead.go
+++ b/core/world/lead.go
@@ -28,6 +28,8 @@
 	accepted []acceptance
 	pushed   ident.Index
 	assignAt ident.Time
+	// down are the hosts without a lease, looked up once a tick.
+	down []ident.HostID
 }
 
 type proposer struct {
@@ -101,6 +103,7 @@
 func (l *leadership) renew(w *World, from ident.HostID, r lease.Renew) (lease.Renewed, *feed.Update) {
 	reply := l.granter.Grant(from, r, w.now, l.behind(w, r.Applied))
 	reply.Term = l.term
+	reply.Down = l.down
 	if r.Applied >= w.state.Applied || w.hasLog(from) {
 		return reply, nil
 	}
@@ -139,6 +142,7 @@
 	if l == nil {
 		return
 	}
+	l.down = l.granter.Down(w.hostNames(), w.now)
 	l.push(w)
 	l.assign(w)
 	l.abandon(w)
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -91,6 +91,8 @@
 	state  *state.State
 	recent *feed.Recent
 	holder lease.Holder
+	// down are the hosts without a lease, as the leader last said.
+	down   []ident.HostID
 	lead   *leadership // nil while another host leads
 	leader ident.HostID
 	// leaderTry walks the hosts while no leader is known.
--- /dev/null
+++ b/io/entry/entries.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"net/http"
+
+	"shallotgap/core/ident"
+	"shallotgap/core/work"
+	"shallotgap/core/world"
+)
+
+// Entries is the answer to GET /v1/entries: the addresses to use, best first, for Lifetime.
+type Entries struct {
+	Entries    []Address `json:"entries"`
+	LifetimeMS int64     `json:"lifetime-ms"`
+}
+
+// Address is one entry host.
+type Address struct {
+	Host   ident.HostID   `json:"host"`
+	URL    string         `json:"url"`
+	Domain ident.DomainID `json:"domain"`
+}
+
+// entries serves GET /v1/entries?domain=D&model=A@V&service=S; all parameters are optional.
+func (s *Server) entries(w http.ResponseWriter, r *http.Request) {
+	q, err := s.entryQuery(r)
+	if err != nil {
+		badRequest(w, "bad-model")
+		return
+	}
+	var hosts []ident.HostID
+	if s.host.View(r.Context(), func(v *world.World) { hosts = v.Entries(q) }) != nil {
+		return
+	}
+	out := Entries{Entries: []Address{}, LifetimeMS: s.settings.EntryLife.Milliseconds()}
+	for _, name := range hosts {
+		for _, h := range s.settings.Hosts {
+			if h.Name == name {
+				out.Entries = append(out.Entries, Address{Host: h.Name, URL: "http://" + h.Listen, Domain: h.Domain})
+			}
+		}
+	}
+	writeJSON(w, http.StatusOK, out)
+}
+
+func (s *Server) entryQuery(r *http.Request) (world.EntryQuery, error) {
+	values := r.URL.Query()
+	q := world.EntryQuery{Domain: ident.DomainID(values.Get("domain")), Spread: int(s.asked.Add(1) % maxSpread)}
+	if q.Domain == "" {
+		q.Domain = s.settings.Domain
+	}
+	if name := values.Get("service"); name != "" {
+		q.Request = &work.Request{Workspace: s.workspace(r), Service: ident.Service(name)}
+	}
+	if name := values.Get("model"); name != "" {
+		m, err := ident.ParseModel(name)
+		if err != nil {
+			return q, err
+		}
+		q.Request = &work.Request{Workspace: s.workspace(r), Model: m}
+	}
+	return q, nil
+}
+
+// maxSpread bounds the shift of the order of equal hosts.
+const maxSpread = 1 << 20
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -6,9 +6,9 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
-	"shallotgap/core/drain"
 	"shallotgap/core/ident"
 	"shallotgap/core/lease"
 	"shallotgap/core/rows"
@@ -44,6 +44,8 @@
 	logs.Common
 	host     *host.Host
 	settings conf.Settings
+	// asked counts the address queries, to spread callers over equal hosts.
+	asked atomic.Uint64
 }
 
 // New returns a server in front of h.
@@ -63,40 +65,6 @@
 	mux.HandleFunc("DELETE /v1/endpoints/{id}", s.leave)
 }
 
-// Entries is the answer to GET /v1/entries: the addresses to use, best first, for Lifetime.
-type Entries struct {
-	Entries    []Address `json:"entries"`
-	LifetimeMS int64     `json:"lifetime-ms"`
-}
-
-// Address is one entry host.
-type Address struct {
-	Host   ident.HostID   `json:"host"`
-	URL    string         `json:"url"`
-	Domain ident.DomainID `json:"domain"`
-}
-
-// entries answers with the hosts that take callers: those of the asker's failure domain first, stopping ones left out.
-func (s *Server) entries(w http.ResponseWriter, r *http.Request) {
-	near := ident.DomainID(r.URL.Query().Get("domain"))
-	if near == "" {
-		near = s.settings.Domain
-	}
-	out := Entries{LifetimeMS: s.settings.EntryLife.Milliseconds()}
-	err := s.host.View(r.Context(), func(v *world.World) {
-		for _, pass := range []bool{true, false} {
-			for _, h := range s.settings.Hosts {
-				if (h.Domain == near) == pass && !v.State().Stops.Stopping(drain.Host, string(h.Name)) {
-					out.Entries = append(out.Entries, Address{Host: h.Name, URL: "http://" + h.Listen, Domain: h.Domain})
-				}
-			}
-		}
-	})
-	if err == nil {
-		writeJSON(w, http.StatusOK, out)
-	}
-}
-
 // modelList is the OpenAI-compatible form of GET /v1/models.
 type modelList struct {
 	Object string      `json:"object"`
