Close the gaps in the log, the leases and the ownership that a property test found

Cause: a property test over five whole decision cores in virtual time (loss, repeats, reordering, crashes with lost writes, emptied disks, frozen hosts) and named cases failed. Ruled out: a round of messages for each lease (the heartbeats' answers carry their sending time already); comparing instances of endpoints by size (they need not be ordered). Endpoints that left are remembered for ten minutes. Conclusion: the disk, the host's write queue and the repair's own tests are next.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -97,8 +97,13 @@
 		c = &client{}
 		g.hosts[h] = c
 	}
-	c.applied = r.Applied
 	reply := Renewed{Sent: r.Sent, Incarnation: r.Incarnation}
+	if r.Incarnation < c.incarnation && g.Alive(h, now) {
+		// A late message of an earlier run, or a wall clock that went back; the lease of the other run passes first.
+		reply.Refused = true
+		return reply
+	}
+	c.applied = r.Applied
 	if behind > g.Spread {
 		reply.Refused = true
 		return reply
--- a/core/lease/owners.go
+++ b/core/lease/owners.go
@@ -45,8 +45,18 @@
 	Endpoint
 	Owner ident.HostID `json:"owner,omitempty"`
 	Fence ident.Fence  `json:"fence,omitempty"`
+	// Last is the owner that gave the endpoint back at Fence; set while there is no owner.
+	Last ident.HostID `json:"last,omitempty"`
+	// Former is the instance before the present one; a late announcement of it changes nothing.
+	Former ident.Incarnation `json:"former,omitempty"`
+	// Gone is the wall-clock second (Unix) at which the endpoint was forgotten; 0 for a present one.
+	Gone int64 `json:"gone,omitempty"`
 }
 
+// KeepGone is the time in seconds for which the owner of an endpoint that has left is remembered. It is longer than
+// any lease, so that an endpoint that returns gets no second owner beside one that has not heard of the leaving.
+const KeepGone = 600
+
 // Assign gives an endpoint to a host; the fencing number is the log index of the command.
 type Assign struct {
 	Endpoint ident.EndpointID `json:"endpoint"`
@@ -58,11 +68,14 @@
 // Owners is the deterministic state machine of endpoint ownership.
 type Owners struct {
 	endpoints *table.Table[ident.EndpointID, Owned]
+	gone      *table.Table[ident.EndpointID, Owned]
 	revision  uint64
 }
 
 // NewOwners returns an empty state.
-func NewOwners() *Owners { return &Owners{endpoints: table.New[ident.EndpointID, Owned]()} }
+func NewOwners() *Owners {
+	return &Owners{endpoints: table.New[ident.EndpointID, Owned](), gone: table.New[ident.EndpointID, Owned]()}
+}
 
 // Get returns an endpoint and whether it is known.
 func (o *Owners) Get(id ident.EndpointID) (Owned, bool) { return o.endpoints.Get(id) }
@@ -74,9 +87,14 @@
 func (o *Owners) All() iter.Seq2[ident.EndpointID, Owned] { return o.endpoints.All() }
 
 // List returns a copy of all endpoints in order.
-func (o *Owners) List() []Owned {
-	list := make([]Owned, 0, o.endpoints.Len())
-	for _, e := range o.endpoints.All() {
+func (o *Owners) List() []Owned { return listOf(o.endpoints) }
+
+// ListGone returns a copy of the endpoints that have left and are remembered, in order.
+func (o *Owners) ListGone() []Owned { return listOf(o.gone) }
+
+func listOf(t *table.Table[ident.EndpointID, Owned]) []Owned {
+	list := make([]Owned, 0, t.Len())
+	for _, e := range t.All() {
 		list = append(list, e)
 	}
 	return list
@@ -84,16 +102,44 @@
 
 // Announce stores what an endpoint says of itself, keeping its owner.
 func (o *Owners) Announce(e Endpoint) {
-	old, _ := o.endpoints.Get(e.ID)
-	o.put(Owned{Endpoint: e, Owner: old.Owner, Fence: old.Fence})
+	old, known := o.endpoints.Get(e.ID)
+	if !known {
+		old, known = o.gone.Get(e.ID)
+	}
+	if known && e.Instance != old.Instance {
+		if e.Instance == old.Former {
+			return
+		}
+		old.Former = old.Instance
+	}
+	o.gone.Delete(e.ID)
+	o.put(Owned{Endpoint: e, Owner: old.Owner, Fence: old.Fence, Last: old.Last, Former: old.Former})
+}
+
+// Departure tells that the owner with the fencing number has not heard an endpoint instance for too long. Fence 0
+// stands for any owner.
+type Departure struct {
+	Endpoint ident.EndpointID  `json:"endpoint"`
+	Instance ident.Incarnation `json:"instance"`
+	Fence    ident.Fence       `json:"fence,omitempty"`
 }
 
-// Depart forgets an endpoint that has left, unless a newer instance was announced.
-func (o *Owners) Depart(id ident.EndpointID, instance ident.Incarnation) {
-	if e, ok := o.endpoints.Get(id); ok && e.Instance == instance {
-		o.endpoints.Delete(id)
-		o.revision++
+// Depart forgets an endpoint at the wall-clock second now, unless a newer instance was announced or it has another
+// owner by now.
+func (o *Owners) Depart(d Departure, now int64) {
+	e, ok := o.endpoints.Get(d.Endpoint)
+	if !ok || e.Instance != d.Instance || (d.Fence != 0 && d.Fence != e.Fence) {
+		return
+	}
+	for _, id := range o.gone.Keys() {
+		if old, _ := o.gone.Get(id); old.Gone+KeepGone < now {
+			o.gone.Delete(id)
+		}
 	}
+	o.endpoints.Delete(d.Endpoint)
+	e.Gone = now
+	o.gone.Put(d.Endpoint, e)
+	o.revision++
 }
 
 // Assign puts an assignment in force at log position i.
@@ -102,6 +148,10 @@
 	if !ok || e.Fence != a.From {
 		return
 	}
+	e.Last = ""
+	if a.Owner == "" {
+		e.Last = e.Owner
+	}
 	e.Owner = a.Owner
 	e.Fence = ident.Fence(i)
 	o.put(e)
@@ -112,9 +162,12 @@
 	o.revision++
 }
 
-// RestoreOwners returns the state that List was taken from.
-func RestoreOwners(list []Owned) *Owners {
+// RestoreOwners returns the state that List and ListGone were taken from.
+func RestoreOwners(list, gone []Owned) *Owners {
 	o := NewOwners()
+	for _, e := range gone {
+		o.gone.Put(e.ID, e)
+	}
 	for _, e := range list {
 		o.put(e)
 	}
--- a/core/quorum/append.go
+++ b/core/quorum/append.go
@@ -36,6 +36,9 @@
 
 // Step handles one message from another node.
 func (n *Node) Step(m Message) {
+	if m.ToDisk != "" && m.ToDisk != n.Disk {
+		return
+	}
 	switch m.Kind {
 	case Hello:
 		n.stepHello(m)
@@ -71,7 +74,7 @@
 func (n *Node) stepLeader(m Message) {
 	if m.Term < n.hard.Term {
 		// The reply's term makes a superseded leader stand down.
-		n.send(Message{Kind: AppendReply, To: m.From, Reject: true, Hint: n.log.last()})
+		n.reply(m, Message{Reject: true, Hint: n.log.last()})
 		return
 	}
 	if n.role != Follower || n.leader != m.From {
@@ -89,36 +92,54 @@
 func (n *Node) appendFrom(m Message) {
 	term, ok := n.log.term(m.Index)
 	if m.Index < n.log.snap.Index {
-		n.send(Message{Kind: AppendReply, To: m.From, Index: n.log.commit})
+		n.reply(m, Message{Index: n.log.commit})
 		return
 	}
 	if !ok || term != m.LogTerm {
 		hint := min(n.log.last(), m.Index-1)
-		n.send(Message{Kind: AppendReply, To: m.From, Reject: true, Index: m.Index, Hint: hint})
+		n.reply(m, Message{Reject: true, Index: m.Index, Hint: hint})
 		return
 	}
-	last, changed := n.log.appendAfter(m.Index, m.Entries)
-	if changed != 0 {
-		n.markUnstable(changed)
+	done := n.log.appendAfter(m.Index, m.Entries)
+	if done.dropped {
+		n.epoch++
+	}
+	if done.changed != 0 {
+		n.markUnstable(done.changed)
 		n.adoptMembers()
 	}
-	n.log.commit = max(n.log.commit, min(m.Commit, last))
-	n.send(Message{Kind: AppendReply, To: m.From, Index: last})
+	n.log.commit = max(n.log.commit, min(m.Commit, done.last))
+	n.reply(m, Message{Index: done.last})
+}
+
+// reply answers a leader's message.
+func (n *Node) reply(to, m Message) {
+	m.Kind = AppendReply
+	m.To = to.From
+	m.Beat = to.Beat
+	n.send(m)
 }
 
 func (n *Node) install(m Message) {
 	if m.Snapshot == nil || m.Snapshot.Index <= n.log.commit {
-		n.send(Message{Kind: AppendReply, To: m.From, Index: n.log.commit})
+		n.reply(m, Message{Index: n.log.commit})
+		return
+	}
+	if term, ok := n.log.term(m.Snapshot.Index); ok && term == m.Snapshot.Term {
+		// The log holds all of the snapshot already; what follows it may have been acknowledged and stays.
+		n.log.commit = m.Snapshot.Index
+		n.reply(m, Message{Index: m.Snapshot.Index})
 		return
 	}
+	n.epoch++
 	n.log.snap = *m.Snapshot
 	n.log.entries = nil
 	n.log.commit = m.Snapshot.Index
-	n.log.stable = m.Snapshot.Index
+	n.log.stable = 0
 	n.unstable = 0
 	n.snapDirty = true
 	n.adoptMembers()
-	n.send(Message{Kind: AppendReply, To: m.From, Index: m.Snapshot.Index})
+	n.reply(m, Message{Index: m.Snapshot.Index})
 }
 
 func (n *Node) stepAppendReply(m Message) {
@@ -131,6 +152,7 @@
 		return
 	}
 	p.heard = n.now
+	p.beat = max(p.beat, m.Beat)
 	if m.Reject {
 		p.next = max(1, min(p.next, m.Hint+1))
 		n.sendAppend(from, p)
@@ -153,7 +175,7 @@
 		if !m.Voter {
 			continue
 		}
-		if m.Host == n.Self {
+		if m == n.self() {
 			p.match = n.log.stable
 		}
 		matches = append(matches, p.match)
@@ -172,7 +194,7 @@
 // broadcast sends every other member what it lacks, or a heartbeat.
 func (n *Node) broadcast() {
 	for _, m := range n.members {
-		if p := n.peers[m]; p != nil && m.Host != n.Self {
+		if p := n.peers[m]; p != nil && m != n.self() {
 			n.sendAppend(m, p)
 		}
 	}
@@ -181,7 +203,7 @@
 // broadcastNew sends new entries to the members that hold all earlier ones.
 func (n *Node) broadcastNew() {
 	for _, m := range n.members {
-		if p := n.peers[m]; p != nil && m.Host != n.Self && p.next == n.log.last() {
+		if p := n.peers[m]; p != nil && m != n.self() && p.next == n.log.last() {
 			n.sendAppend(m, p)
 		}
 	}
@@ -192,11 +214,11 @@
 	term, ok := n.log.term(prev)
 	if !ok {
 		snap := n.log.snap
-		n.send(Message{Kind: Install, To: to.Host, Snapshot: &snap})
+		n.send(Message{Kind: Install, To: to.Host, ToDisk: to.Disk, Snapshot: &snap})
 		p.next = snap.Index + 1
 		return
 	}
 	entries := n.log.slice(prev, n.MaxBatch)
-	n.send(Message{Kind: Append, To: to.Host, Index: prev, LogTerm: term, Entries: entries, Commit: n.log.commit})
+	n.send(Message{Kind: Append, To: to.Host, ToDisk: to.Disk, Index: prev, LogTerm: term, Entries: entries, Commit: n.log.commit})
 	p.next = prev + ident.Index(len(entries)) + 1
 }
--- a/core/quorum/elect.go
+++ b/core/quorum/elect.go
@@ -36,9 +36,26 @@
 	if n.now >= n.beatAt {
 		n.beatAt = n.now.Add(n.Heartbeat)
 		n.broadcast()
+		n.settleSeats()
 	}
 }
 
+// Confirmed reports whether no other node can lead at this moment and this one has applied all that earlier leaders
+// committed. It rests on the sending times of messages that a majority answered: who answered does not vote for
+// another before an election timeout has passed. A tenth of that covers the difference of clock rates.
+func (n *Node) Confirmed() bool {
+	if term, ok := n.log.term(n.applied); n.role != Leader || !ok || term != n.hard.Term {
+		return false
+	}
+	confirmed := 0
+	for m, p := range n.peers {
+		if m.Voter && (m == n.self() || n.now.Sub(p.beat) < n.Election*9/10) {
+			confirmed++
+		}
+	}
+	return confirmed > n.members.Voters()/2
+}
+
 // hearsMajority is the check-quorum rule: a leader that has not heard a majority for an election timeout stands down.
 func (n *Node) hearsMajority() bool {
 	heard := 0
@@ -67,6 +84,9 @@
 		n.setHard(Hard{Term: n.hard.Term + 1, Vote: n.Self})
 		term = n.hard.Term
 	}
+	if pre {
+		n.sendHello()
+	}
 	if n.countVotes() {
 		return
 	}
@@ -141,9 +161,10 @@
 	n.send(reply)
 }
 
+// grants decides on a vote. Whether it counts is up to the candidate, by the disk that gave it: a voter that does not
+// know yet that it is one must vote, and an emptied disk has another identity.
 func (n *Node) grants(m Message) bool {
-	from, known := n.members.Find(m.From, m.Disk)
-	if !known || !from.Voter || !n.self().Voter {
+	if len(n.members) == 0 {
 		return false
 	}
 	if m.Term < n.hard.Term || !n.log.upToDate(m.Index, m.LogTerm) {
@@ -157,15 +178,19 @@
 
 // leaderIsFresh reports whether a leader was heard within the shortest election timeout; votes are refused then.
 func (n *Node) leaderIsFresh() bool {
-	return n.role == Leader || (n.leader != "" && n.now.Sub(n.heardLead) < n.Election)
+	return n.role == Leader || n.now.Sub(n.heardLead) < n.Election
 }
 
 func (n *Node) stepVoteReply(m Message) {
 	if n.role != Candidate || (m.Kind == PreVoteReply) != n.preVote {
 		return
 	}
+	term := n.hard.Term
+	if n.preVote {
+		term++
+	}
 	from, known := n.members.Find(m.From, m.Disk)
-	if !known || !from.Voter {
+	if !known || !from.Voter || m.Term != term {
 		return
 	}
 	n.votes[m.From] = !m.Reject
--- a/core/quorum/log.go
+++ b/core/quorum/log.go
@@ -45,9 +45,15 @@
 	return rest
 }
 
-// appendAfter stores entries that follow prev, dropping conflicting ones. It returns the last index they
-// reach and the index from which on the log changed, which is 0 when nothing changed.
-func (l *Log) appendAfter(prev ident.Index, entries []Entry) (ident.Index, ident.Index) {
+// appended tells what appendAfter did.
+type appended struct {
+	last    ident.Index // last index that the entries reach
+	changed ident.Index // index from which on the log changed; 0 when it did not
+	dropped bool        // whether conflicting entries were dropped
+}
+
+// appendAfter stores entries that follow prev, dropping conflicting ones.
+func (l *Log) appendAfter(prev ident.Index, entries []Entry) appended {
 	for n, e := range entries {
 		if e.Index <= l.snap.Index {
 			continue
@@ -55,11 +61,12 @@
 		if term, ok := l.term(e.Index); ok && term == e.Term {
 			continue
 		}
+		dropped := e.Index <= l.last()
 		l.truncate(e.Index - 1)
 		l.entries = append(l.entries, entries[n:]...)
-		return l.last(), e.Index
+		return appended{last: l.last(), changed: e.Index, dropped: dropped}
 	}
-	return prev + ident.Index(len(entries)), 0
+	return appended{last: prev + ident.Index(len(entries))}
 }
 
 func (l *Log) truncate(last ident.Index) {
--- a/core/quorum/member.go
+++ b/core/quorum/member.go
@@ -6,17 +6,27 @@
 	"shallotgap/core/ident"
 )
 
-// sendHello tells the founders and members this node's disk, so that it is admitted.
+// hello is what a host last said of its disk.
+type hello struct {
+	disk  DiskID
+	seen  DiskID // this node's disk as the host knew it
+	empty bool   // whether the host knew no members
+}
+
+// sendHello tells the other hosts this node's disk, so that it is admitted.
 func (n *Node) sendHello() {
-	n.hellos[n.Self] = n.Disk
 	for _, h := range n.helloTargets() {
-		n.send(Message{Kind: Hello, To: h, Index: n.log.last(), Members: n.members})
+		n.sayHello(h)
 	}
 	n.found()
 }
 
+func (n *Node) sayHello(h ident.HostID) {
+	n.send(Message{Kind: Hello, To: h, Index: n.log.last(), Members: n.members, Seen: n.hellos[h].disk})
+}
+
 func (n *Node) helloTargets() []ident.HostID {
-	targets := slices.Clone(n.Founders)
+	targets := slices.Concat(n.Founders, n.Contacts)
 	for _, m := range n.members {
 		targets = append(targets, m.Host)
 	}
@@ -26,29 +36,41 @@
 }
 
 func (n *Node) stepHello(m Message) {
-	if len(n.members) == 0 && len(m.Members) == 0 {
-		n.hellos[m.From] = m.Disk
+	n.hellos[m.From] = hello{disk: m.Disk, seen: m.Seen, empty: len(m.Members) == 0}
+	if len(n.members) == 0 {
+		if m.Seen != n.Disk {
+			n.sayHello(m.From)
+		}
 		n.found()
 		return
 	}
 	if n.role == Leader {
 		n.admit(m.From, m.Disk)
 	}
+	if _, known := n.members.Find(m.From, m.Disk); known && m.Index == 0 && n.configAt == 1 && n.log.snap.Index == 0 {
+		// The founding message was lost.
+		n.sayHello(m.From)
+		n.send(Message{Kind: Found, To: m.From, Members: n.members})
+	}
 }
 
-// found forms the first membership. Only the founder with the lowest name does so, and only when every
-// founder has said that its disk is empty: a single emptied disk can never found a second history.
+// found forms the first membership. Only the founder with the lowest name does so, and only when every founder has
+// said that its disk is empty, knowing the founder's present disk: neither a single emptied disk nor a late message to
+// an earlier one can found a second history.
 func (n *Node) found() {
 	if len(n.members) > 0 || len(n.Founders) == 0 || slices.Min(n.Founders) != n.Self {
 		return
 	}
 	members := Members{}
 	for _, h := range n.Founders {
-		disk, heard := n.hellos[h]
-		if !heard {
+		said := n.hellos[h]
+		if h == n.Self {
+			said = hello{disk: n.Disk, seen: n.Disk, empty: true}
+		}
+		if said.disk == "" || said.seen != n.Disk || !said.empty {
 			return
 		}
-		members = append(members, Member{Host: h, Disk: disk, Voter: true})
+		members = append(members, Member{Host: h, Disk: said.disk, Voter: true})
 	}
 	n.adoptFirst(members)
 	for _, h := range n.helloTargets() {
@@ -57,7 +79,7 @@
 }
 
 func (n *Node) stepFound(m Message) {
-	if len(n.members) == 0 && n.log.last() == 0 {
+	if len(n.members) == 0 && n.log.last() == 0 && n.hellos[m.From].disk == m.Disk {
 		n.adoptFirst(m.Members)
 	}
 }
@@ -87,46 +109,22 @@
 			p = old[Member{Host: m.Host, Disk: m.Disk, Voter: !m.Voter}]
 		}
 		if p == nil {
-			p = &progress{next: n.log.last() + 1, heard: n.now}
+			p = &progress{next: n.log.last() + 1, heard: n.now, beat: n.now.Add(-n.Election)}
 		}
 		n.peers[m] = p
 	}
 }
 
-// Change proposes a new membership; one change at a time.
+// Change proposes a new membership; one change at a time, and none before an entry of the leader's own term is
+// committed: until then a change of an earlier term may still be under way elsewhere (Ongaro, 2015).
 func (n *Node) Change(members Members) (ident.Index, error) {
 	if n.role != Leader {
 		return 0, ErrNotLeader
 	}
-	if n.configAt > n.log.commit {
+	if term, ok := n.log.term(n.log.commit); n.configAt > n.log.commit || !ok || term != n.hard.Term {
 		return 0, ErrPending
 	}
 	i := n.appendOwn(Entry{Kind: Config, Members: members})
 	n.broadcast()
 	return i, nil
 }
-
-// admit moves a host with a new disk one step towards being a voter: first a learner, then, once it has caught up,
-// its old disk is removed, and then the new one votes.
-func (n *Node) admit(h ident.HostID, d DiskID) {
-	member, known := n.members.Find(h, d)
-	if known && member.Voter {
-		return
-	}
-	next := slices.Clone(n.members)
-	if !known {
-		next = append(next, Member{Host: h, Disk: d})
-		_, _ = n.Change(next)
-		return
-	}
-	if n.peers[member].match < n.log.commit {
-		return
-	}
-	old := slices.IndexFunc(next, func(m Member) bool { return m.Host == h && m.Disk != d })
-	if old >= 0 {
-		_, _ = n.Change(slices.Delete(next, old, old+1))
-		return
-	}
-	next[slices.Index(next, member)].Voter = true
-	_, _ = n.Change(next)
-}
--- a/core/quorum/message.go
+++ b/core/quorum/message.go
@@ -89,7 +89,7 @@
 	Append
 	AppendReply
 	Install
-	Hello // a node without members tells the settings' voters its disk
+	Hello // a node that does not vote, or finds no leader, tells the other hosts its disk
 	Found // the first membership, sent by the voter with the lowest name
 )
 
@@ -106,6 +106,12 @@
 	Commit  ident.Index `json:"commit,omitempty"`
 	Entries []Entry     `json:"entries,omitempty"`
 	Reject  bool        `json:"reject,omitempty"`
+	// ToDisk names the data folder meant; a host with another one ignores the message.
+	ToDisk DiskID `json:"to-disk,omitempty"`
+	// Beat is the leader's clock reading at the sending of an append or install; the reply returns it.
+	Beat ident.Time `json:"beat,omitempty"`
+	// Seen is the disk of To as From last heard of it; set in Hello.
+	Seen DiskID `json:"seen,omitempty"`
 	// Hint is the last index that a rejecting follower may share with the leader.
 	Hint     ident.Index `json:"hint,omitempty"`
 	Snapshot *Snapshot   `json:"snapshot,omitempty"`
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -29,7 +29,15 @@
 	Self ident.HostID
 	Disk DiskID
 	// Founders are the hosts that form the first membership once all of them report an empty disk.
-	Founders  []ident.HostID
+	Founders []ident.HostID
+	// Contacts are all hosts with a data folder.
+	Contacts []ident.HostID
+	// Seats is the number of voters wanted; 0 means as many as there are founders.
+	Seats int
+	// RepairAfter is how long a voter may be silent before a learner takes its seat; 0 means that it keeps it.
+	RepairAfter time.Duration
+	// Domains are the failure domains of the hosts, over which the voters are spread.
+	Domains   map[ident.HostID]ident.DomainID
 	Heartbeat time.Duration
 	// Election is the shortest election timeout; the longest is twice that.
 	Election time.Duration
@@ -42,7 +50,9 @@
 type progress struct {
 	match ident.Index
 	next  ident.Index
+	// heard is when the last reply came, beat when the last message that the member answered was sent.
 	heard ident.Time
+	beat  ident.Time
 }
 
 // Node is one member of the replicated log.
@@ -62,18 +72,28 @@
 	preVote   bool
 	votes     map[ident.HostID]bool
 	peers     map[Member]*progress
-	hellos    map[ident.HostID]DiskID
+	hellos    map[ident.HostID]hello
 
 	hardDirty bool
 	snapDirty bool
 	unstable  ident.Index // first index not yet handed out for writing; 0 for none
 	messages  []Message
 	applied   ident.Index
+
+	seq    uint64
+	writes []write // handed out and not yet durable, oldest first
+	// epoch counts the times that entries were replaced; a write of an earlier epoch proves nothing.
+	epoch uint64
 }
 
 // New returns a node that continues from what the disk held at the clock reading now.
 func New(s Settings, l *Log, h Hard, now ident.Time) *Node {
-	n := &Node{Settings: s, log: l, hard: h, now: now, applied: l.snap.Index, hellos: map[ident.HostID]DiskID{}}
+	n := &Node{Settings: s, log: l, hard: h, now: now, applied: l.snap.Index, hellos: map[ident.HostID]hello{}}
+	n.heardLead = now.Add(-s.Election)
+	if h.Term > 0 {
+		// The node may have heard a leader right before it stopped; its promise not to vote still holds.
+		n.heardLead = now
+	}
 	n.members, n.configAt = l.members()
 	n.resetElection()
 	return n
@@ -91,69 +111,6 @@
 // Commit returns the last index known to be held by a majority.
 func (n *Node) Commit() ident.Index { return n.log.commit }
 
-// Ready is what the node wants written and sent.
-type Ready struct {
-	// Hard, Snapshot and Entries must be durable before Messages leave. Entries replace all from their first index on.
-	Hard     *Hard
-	Snapshot *Snapshot
-	Entries  []Entry
-	Messages []Message
-	// Committed are the entries to apply, in order; after Install, Restore is set and comes first.
-	Committed []Entry
-	Restore   *Snapshot
-}
-
-// Empty reports whether there is nothing to do.
-func (r Ready) Empty() bool { return !r.Writes() && len(r.Messages) == 0 && len(r.Committed) == 0 }
-
-// Writes reports whether something must become durable.
-func (r Ready) Writes() bool { return r.Hard != nil || r.Snapshot != nil || len(r.Entries) > 0 }
-
-// Ready returns the pending work and hands it over to the caller.
-func (n *Node) Ready() Ready {
-	r := Ready{Messages: n.messages}
-	n.messages = nil
-	if n.hardDirty {
-		hard := n.hard
-		r.Hard = &hard
-		n.hardDirty = false
-	}
-	if n.snapDirty {
-		snap := n.log.snap
-		r.Snapshot = &snap
-		r.Restore = &snap
-		n.applied = snap.Index
-		n.snapDirty = false
-	}
-	if n.unstable != 0 {
-		r.Entries = append(r.Entries, n.log.slice(max(n.unstable-1, n.log.snap.Index), len(n.log.entries))...)
-		n.unstable = 0
-	}
-	r.Committed = n.takeCommitted()
-	return r
-}
-
-func (n *Node) takeCommitted() []Entry {
-	end := min(n.log.commit, n.log.stable)
-	if end <= n.applied {
-		return nil
-	}
-	list := append([]Entry(nil), n.log.slice(n.applied, int(end-n.applied))...)
-	n.applied = end
-	return list
-}
-
-// Stable tells the node that the log up to index, of the given term there, is durable.
-func (n *Node) Stable(index ident.Index, term ident.Term) {
-	if own, ok := n.log.term(index); !ok || own != term {
-		return
-	}
-	n.log.stable = max(n.log.stable, index)
-	if n.role == Leader {
-		n.advanceCommit()
-	}
-}
-
 // Compact replaces the log up to the applied index by a snapshot of the state machine.
 // The caller writes the returned snapshot to disk.
 func (n *Node) Compact(index ident.Index, data []byte) (Snapshot, bool) {
@@ -196,5 +153,8 @@
 	if m.Term == 0 {
 		m.Term = n.hard.Term
 	}
+	if m.Kind == Append || m.Kind == Install {
+		m.Beat = n.now
+	}
 	n.messages = append(n.messages, m)
 }
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -25,10 +25,7 @@
 }
 
 // Depart forgets an endpoint instance.
-type Depart struct {
-	Endpoint ident.EndpointID  `json:"endpoint"`
-	Instance ident.Incarnation `json:"instance"`
-}
+type Depart = lease.Departure
 
 // Public reports whether entry hosts without a data folder receive the command; claims stay with the voters.
 func (c Command) Public() bool { return c.Open == nil && c.Close == nil && c.Abandon == nil }
@@ -77,7 +74,7 @@
 	case c.Announce != nil:
 		s.Owners.Announce(*c.Announce)
 	case c.Depart != nil:
-		s.Owners.Depart(c.Depart.Endpoint, c.Depart.Instance)
+		s.Owners.Depart(*c.Depart, c.Wall)
 	case c.Assign != nil:
 		s.Owners.Assign(i, *c.Assign)
 	case c.Mark != nil:
@@ -124,13 +121,14 @@
 	Applied ident.Index    `json:"applied"`
 	Rows    rows.Snapshot  `json:"rows"`
 	Owners  []lease.Owned  `json:"owners"`
+	Gone    []lease.Owned  `json:"gone,omitempty"`
 	Stops   []drain.Stop   `json:"stops"`
 	Claims  []claim.Record `json:"claims,omitempty"`
 }
 
 // Snapshot returns a copy of the state; voters get all of it, other hosts neither claims nor the results of edits.
 func (s *State) Snapshot(voter bool) Snapshot {
-	snap := Snapshot{Applied: s.Applied, Rows: s.Rows.Snapshot(voter), Owners: s.Owners.List(), Stops: s.Stops.List()}
+	snap := Snapshot{Applied: s.Applied, Rows: s.Rows.Snapshot(voter), Owners: s.Owners.List(), Gone: s.Owners.ListGone(), Stops: s.Stops.List()}
 	if voter {
 		snap.Claims = s.Claims.List()
 	}
@@ -142,7 +140,7 @@
 	return &State{
 		Applied: s.Applied,
 		Rows:    rows.Restore(s.Rows),
-		Owners:  lease.RestoreOwners(s.Owners),
+		Owners:  lease.RestoreOwners(s.Owners, s.Gone),
 		Stops:   drain.RestoreStops(s.Stops),
 		Claims:  claim.RestoreBook(s.Claims),
 	}
--- a/core/world/assign.go
+++ b/core/world/assign.go
@@ -33,15 +33,21 @@
 		}
 		counts[to]++
 		a := lease.Assign{Endpoint: e.ID, Owner: to, From: e.Fence}
-		l.assigning[e.ID] = l.propose(w, w.Self, Proposal{Command: state.Command{Assign: &a}})
+		i := l.propose(w, w.Self, Proposal{Command: state.Command{Assign: &a}})
+		l.assigning[e.ID] = i
+		l.taken[e.Owner] = max(l.taken[e.Owner], i)
 	}
 }
 
 func (l *leadership) needsOwner(w *World, e lease.Owned) bool {
-	if e.Owner == "" {
+	if e.Owner != "" {
+		return l.granter.Expired(e.Owner, w.now)
+	}
+	if e.Last == "" || l.granter.Expired(e.Last, w.now) {
 		return true
 	}
-	return l.granter.Expired(e.Owner, w.now)
+	applied, _ := l.granter.Applied(e.Last, w.now)
+	return applied >= ident.Index(e.Fence)
 }
 
 func (l *leadership) ownedCounts(w *World) map[ident.HostID]int {
--- a/core/world/compact.go
+++ b/core/world/compact.go
@@ -19,8 +19,7 @@
 		return
 	}
 	if snap, ok := w.node.Compact(c.Index, c.Data); ok {
-		w.writeSeq++
-		w.emit(Effect{Write: &Write{Seq: w.writeSeq, Snapshot: &snap}})
+		w.emit(Effect{Write: &Write{Snapshot: &snap}})
 	}
 }
 
--- a/core/world/control.go
+++ b/core/world/control.go
@@ -90,17 +90,16 @@
 }
 
 func (w *World) takeReady(r quorum.Ready) {
-	var out []Outbound
-	for _, m := range r.Messages {
-		out = append(out, Outbound{To: m.To, Message: Message{Quorum: &m}})
+	if r.Seq != 0 || len(r.After) > 0 {
+		w.emit(Effect{Write: &Write{
+			Seq: r.Seq, Hard: r.Hard, Snapshot: r.Snapshot, Replace: r.Snapshot != nil, Entries: r.Entries, Then: outbound(r.After),
+		}})
 	}
-	if r.Writes() {
-		w.write(r, out)
-	} else {
-		w.sendAfterWrites(out)
+	for _, out := range outbound(r.Now) {
+		w.emit(Effect{Send: &out})
 	}
-	if r.Restore != nil {
-		if err := w.restore(*r.Restore); err != nil {
+	if r.Snapshot != nil {
+		if err := w.restore(*r.Snapshot); err != nil {
 			w.note(ident.RequestID{}, "restore", err.Error(), "")
 		}
 	}
@@ -109,30 +108,17 @@
 	}
 }
 
-func (w *World) write(r quorum.Ready, then []Outbound) {
-	w.writeSeq++
-	if n := len(r.Entries); n > 0 {
-		w.writes[w.writeSeq] = mark{index: r.Entries[n-1].Index, term: r.Entries[n-1].Term}
-	}
-	w.emit(Effect{Write: &Write{Seq: w.writeSeq, Hard: r.Hard, Snapshot: r.Snapshot, Entries: r.Entries, Then: then}})
-}
-
-// sendAfterWrites sends messages behind the writes still under way, since they may rest on them.
-func (w *World) sendAfterWrites(out []Outbound) {
-	if len(w.writes) > 0 && w.node.Role() != quorum.Leader {
-		w.emit(Effect{Write: &Write{Then: out}})
-		return
-	}
-	for i := range out {
-		w.emit(Effect{Send: &out[i]})
+func outbound(list []quorum.Message) []Outbound {
+	var out []Outbound
+	for _, m := range list {
+		out = append(out, Outbound{To: m.To, Message: Message{Quorum: &m}})
 	}
+	return out
 }
 
 func (w *World) written(done Written) {
-	m, ok := w.writes[done.Seq]
-	delete(w.writes, done.Seq)
-	if ok && w.node != nil {
-		w.node.Stable(m.index, m.term)
+	if w.node != nil {
+		w.node.Written(done.Seq)
 	}
 }
 
@@ -188,9 +174,9 @@
 		list = append(list, w.leader)
 	}
 	if w.leader == "" || w.now.Add(w.Params.Lease.Length/2) > w.holder.Until() {
-		founders := w.founders()
+		disks := w.diskHosts()
 		w.leaderTry++
-		if next := founders[w.leaderTry%len(founders)]; next != w.leader {
+		if next := disks[w.leaderTry%len(disks)]; next != w.leader {
 			list = append(list, next)
 		}
 	}
@@ -198,7 +184,7 @@
 }
 
 func (w *World) grantLease(from ident.HostID, r lease.Renew) {
-	if w.lead == nil {
+	if w.lead == nil || !w.node.Confirmed() {
 		return
 	}
 	reply, update := w.lead.renew(w, from, r)
--- a/core/world/event.go
+++ b/core/world/event.go
@@ -102,13 +102,15 @@
 	Note     *Note     `json:"note,omitempty"`
 }
 
-// Write must become durable, in order; then Then is sent and Written comes back.
+// Write must become durable, in order; then Then is sent and, unless Seq is 0, Written comes back.
 type Write struct {
 	Seq      uint64           `json:"seq"`
 	Hard     *quorum.Hard     `json:"hard,omitempty"`
 	Snapshot *quorum.Snapshot `json:"snapshot,omitempty"`
-	Entries  []quorum.Entry   `json:"entries,omitempty"`
-	Then     []Outbound       `json:"then,omitempty"`
+	// Replace drops all entries written before; without it those after the snapshot stay.
+	Replace bool           `json:"replace,omitempty"`
+	Entries []quorum.Entry `json:"entries,omitempty"`
+	Then    []Outbound     `json:"then,omitempty"`
 }
 
 // Forward passes a request to the owner of its endpoint.
--- a/core/world/lead.go
+++ b/core/world/lead.go
@@ -24,6 +24,8 @@
 	// assigning holds the index of the latest assignment proposed; abandoning the time of the latest proposal.
 	assigning  map[ident.EndpointID]ident.Index
 	abandoning map[ident.HostID]ident.Time
+	// taken is the index of the latest assignment that takes an endpoint from a host: it gets no lease before it knows.
+	taken map[ident.HostID]ident.Index
 	// accepted are the latest public commands with the time of their acceptance, oldest first.
 	accepted []acceptance
 	pushed   ident.Index
@@ -37,6 +39,12 @@
 	ticket Ticket
 }
 
+// longAgo is before every reading of a clock.
+const longAgo = ident.Time(-1 << 62)
+
+// unbounded is longer than any lag that a host may have.
+const unbounded = time.Duration(1<<63 - 1)
+
 type acceptance struct {
 	index ident.Index
 	at    ident.Time
@@ -50,7 +58,9 @@
 		waiting:    map[ident.Index]proposer{},
 		assigning:  map[ident.EndpointID]ident.Index{},
 		abandoning: map[ident.HostID]ident.Time{},
+		taken:      map[ident.HostID]ident.Index{},
 		pushed:     w.state.Applied,
+		accepted:   []acceptance{{index: w.state.Applied, at: longAgo}},
 	}
 }
 
@@ -78,9 +88,12 @@
 	if l == nil {
 		return
 	}
-	if e.Term == l.term {
-		l.accepted = append(l.accepted, acceptance{index: e.Index, at: w.now})
+	a := acceptance{index: e.Index, at: w.now}
+	if e.Term != l.term {
+		// An earlier leader may have accepted it long ago: no host renews without it.
+		a.at = longAgo
 	}
+	l.accepted = append(l.accepted, a)
 	p, ok := l.waiting[e.Index]
 	delete(l.waiting, e.Index)
 	if ok && e.Term == l.term && p.ticket != 0 {
@@ -89,7 +102,7 @@
 }
 
 func (l *leadership) answer(w *World, from ident.HostID, q Question) {
-	if l == nil {
+	if l == nil || !w.node.Confirmed() {
 		return
 	}
 	a := Asked{Ticket: q.Ticket, Index: w.state.Applied}
@@ -101,7 +114,11 @@
 
 // renew extends a host's lease and returns what the host lacks.
 func (l *leadership) renew(w *World, from ident.HostID, r lease.Renew) (lease.Renewed, *feed.Update) {
-	reply := l.granter.Grant(from, r, w.now, l.behind(w, r.Applied))
+	behind := l.behind(w, r.Applied)
+	if r.Applied < l.taken[from] {
+		behind = unbounded
+	}
+	reply := l.granter.Grant(from, r, w.now, behind)
 	reply.Term = l.term
 	reply.Down = l.down
 	if r.Applied >= w.state.Applied || w.hasLog(from) {
@@ -111,7 +128,7 @@
 	return reply, &u
 }
 
-func (w *World) hasLog(h ident.HostID) bool { return slices.Contains(w.founders(), h) }
+func (w *World) hasLog(h ident.HostID) bool { return slices.Contains(w.diskHosts(), h) }
 
 // behind returns for how long a host at index has lacked an accepted command.
 func (l *leadership) behind(w *World, index ident.Index) time.Duration {
@@ -121,6 +138,9 @@
 	if n == len(l.accepted) {
 		return 0
 	}
+	if l.accepted[n].at == longAgo {
+		return unbounded
+	}
 	return w.now.Sub(l.accepted[n].at)
 }
 
--- a/core/world/own.go
+++ b/core/world/own.go
@@ -86,7 +86,7 @@
 		return
 	}
 	site.Heard = w.now
-	d := state.Depart{Endpoint: site.ID, Instance: site.Instance}
+	d := state.Depart{Endpoint: site.ID, Instance: site.Instance, Fence: site.Fence}
 	w.propose(state.Command{Depart: &d}, purpose{})
 }
 
--- /dev/null
+++ b/core/world/seats.go
@@ -0,0 +1,46 @@
+package world
+
+import (
+	"slices"
+
+	"shallotgap/core/ident"
+)
+
+// diskHosts returns the hosts with a data folder, in the order of the settings.
+func (w *World) diskHosts() []ident.HostID {
+	var list []ident.HostID
+	for _, p := range w.Peers {
+		if p.Disk {
+			list = append(list, p.Host)
+		}
+	}
+	return list
+}
+
+func (w *World) domains() map[ident.HostID]ident.DomainID {
+	domains := map[ident.HostID]ident.DomainID{}
+	for _, p := range w.Peers {
+		domains[p.Host] = p.Domain
+	}
+	return domains
+}
+
+// founders returns the hosts that form the first voters: as many as there are seats, spread over the failure domains.
+func (w *World) founders() []ident.HostID {
+	disks := w.diskHosts()
+	seats := w.Params.Voters
+	if seats == 0 || seats > len(disks) {
+		return disks
+	}
+	domains := w.domains()
+	used := map[ident.DomainID]int{}
+	var list []ident.HostID
+	for len(list) < seats {
+		best := slices.MinFunc(disks, func(x, y ident.HostID) int { return used[domains[x]] - used[domains[y]] })
+		used[domains[best]]++
+		list = append(list, best)
+		disks = slices.DeleteFunc(disks, func(h ident.HostID) bool { return h == best })
+	}
+	slices.Sort(list)
+	return list
+}
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -58,6 +58,10 @@
 	StoreInFlight  int     // loads at once
 	KeyLife        time.Duration
 	CompactAfter   int // log entries between snapshots
+	// Voters is the number of hosts that vote; further ones with a data folder stand by. 0 means all of them.
+	Voters int
+	// RepairAfter is how long a voter may be silent before a host that stands by takes its seat.
+	RepairAfter time.Duration
 }
 
 // Defaults returns the parameters that hold where the settings name none.
@@ -77,6 +81,7 @@
 		StoreInFlight:   8,
 		KeyLife:         24 * time.Hour,
 		CompactAfter:    4096,
+		RepairAfter:     30 * time.Second,
 	}
 }
 
@@ -97,8 +102,6 @@
 	leader ident.HostID
 	// leaderTry walks the hosts while no leader is known.
 	leaderTry int
-	writeSeq  uint64
-	writes    map[uint64]mark
 	// compacting is set while a snapshot is being encoded.
 	compacting bool
 
@@ -115,12 +118,6 @@
 	sent       map[ident.EndpointID]string
 }
 
-// mark is the end of the log that a write makes durable.
-type mark struct {
-	index ident.Index
-	term  ident.Term
-}
-
 // New returns the world of a host that starts at c.Now.
 func New(c Config) (*World, error) {
 	w := &World{
@@ -129,7 +126,6 @@
 		state:    state.New(),
 		recent:   feed.NewRecent(0),
 		holder:   lease.Holder{Terms: c.Params.Lease, Incarnation: c.Incarnation},
-		writes:   map[uint64]mark{},
 		pending:  map[Ticket]*pending{},
 		asking:   map[Ticket]*asking{},
 		sites:    map[ident.EndpointID]*place.Site{},
@@ -151,27 +147,20 @@
 		}
 	}
 	w.node = quorum.New(quorum.Settings{
-		Self:      w.Self,
-		Disk:      s.Disk,
-		Founders:  w.founders(),
-		Heartbeat: w.Params.Heartbeat,
-		Election:  w.Params.Election,
-		MaxBatch:  512,
-		Rand:      w.Rand,
+		Self:        w.Self,
+		Disk:        s.Disk,
+		RepairAfter: w.Params.RepairAfter,
+		Founders:    w.founders(),
+		Contacts:    w.diskHosts(),
+		Domains:     w.domains(),
+		Heartbeat:   w.Params.Heartbeat,
+		Election:    w.Params.Election,
+		MaxBatch:    512,
+		Rand:        w.Rand,
 	}, quorum.NewLog(s.Snapshot, s.Entries), s.Hard, w.Now)
 	return nil
 }
 
-func (w *World) founders() []ident.HostID {
-	var list []ident.HostID
-	for _, p := range w.Peers {
-		if p.Disk {
-			list = append(list, p.Host)
-		}
-	}
-	return list
-}
-
 func (w *World) restore(s quorum.Snapshot) error {
 	var snap state.Snapshot
 	if err := wire.Unmarshal(s.Data, &snap); err != nil {
@@ -187,6 +176,11 @@
 func (w *World) Handle(in Input) []Effect {
 	w.now = max(w.now, in.Now)
 	w.wall = in.Wall
+	if w.node != nil {
+		// A host that stood still notices before anything else that it may have lost the lead.
+		w.node.Tick(w.now)
+		w.followLeader()
+	}
 	w.handle(in.Event)
 	w.run()
 	out := w.effects
@@ -227,9 +221,6 @@
 
 // tick runs the systems that depend on the clock.
 func (w *World) tick() {
-	if w.node != nil {
-		w.node.Tick(w.now)
-	}
 	w.renew()
 	w.resend()
 	w.tickLeader()
@@ -270,3 +261,15 @@
 
 // Serving reports whether this host's lease is valid.
 func (w *World) Serving() bool { return w.holder.Valid(w.now) }
+
+// ServingAt reports whether this host's lease is valid at a reading of its clock.
+func (w *World) ServingAt(now ident.Time) bool { return w.holder.Valid(now) }
+
+// Members returns the membership of the replicated log in force on this host; none without a data folder.
+func (w *World) Members() quorum.Members {
+	if w.node == nil {
+		return nil
+	}
+	members, _ := w.node.Members()
+	return members
+}
--- a/io/disk/disk.go
+++ b/io/disk/disk.go
@@ -206,7 +206,7 @@
 // Write makes w durable. After an error nothing may be written any more.
 func (s *Store) Write(w world.Write) error {
 	if w.Snapshot != nil {
-		if err := s.writeSnapshot(*w.Snapshot); err != nil {
+		if err := s.writeSnapshot(*w.Snapshot, w.Replace); err != nil {
 			return fmt.Errorf("write snapshot: %w", err)
 		}
 	}
@@ -247,7 +247,7 @@
 }
 
 // writeSnapshot replaces the snapshot, and then the log by one without the entries that the snapshot holds.
-func (s *Store) writeSnapshot(snap quorum.Snapshot) error {
+func (s *Store) writeSnapshot(snap quorum.Snapshot, replace bool) error {
 	frame, err := frameOf(snap)
 	if err != nil {
 		return err
@@ -255,10 +255,10 @@
 	if err := s.replace(snapFile, frame); err != nil {
 		return err
 	}
-	return s.rewriteLog(snap)
+	return s.rewriteLog(snap, replace)
 }
 
-func (s *Store) rewriteLog(snap quorum.Snapshot) error {
+func (s *Store) rewriteLog(snap quorum.Snapshot, replace bool) error {
 	old := world.Stored{}
 	if _, err := s.log.Seek(0, io.SeekStart); err != nil {
 		return err
@@ -279,7 +279,7 @@
 	}
 	kept := record{Hard: &s.hard}
 	for _, e := range old.Entries {
-		if e.Index > snap.Index {
+		if e.Index > snap.Index && !replace {
 			kept.Entries = append(kept.Entries, e)
 		}
 	}
