Name the fleet in virtual time in six letters at most

Cause: the house check names fakes/virtual. Ruled out: shortening the rule. Change: the package is fakes/vtime, no change of behaviour. Conclusion: names hold.

--- a/core/world/survive_test.go
+++ b/core/world/survive_test.go
@@ -14,7 +14,7 @@
 	"shallotgap/core/rows"
 	"shallotgap/core/state"
 	"shallotgap/core/world"
-	"shallotgap/fakes/virtual"
+	"shallotgap/fakes/vtime"
 )
 
 // inForce is the users' bound on the time from the acceptance of an edit until no host serves without it.
@@ -33,7 +33,7 @@
 
 // watch holds what must be true of a fleet at all times.
 type watch struct {
-	*virtual.Fleet
+	*vtime.Fleet
 	fail     func(format string, args ...any)
 	leaders  map[ident.Term]ident.HostID
 	tables   map[ident.Index]string
@@ -47,13 +47,13 @@
 	index ident.Index
 }
 
-func newWatch(f *virtual.Fleet, fail func(string, ...any)) *watch {
+func newWatch(f *vtime.Fleet, fail func(string, ...any)) *watch {
 	w := &watch{Fleet: f, fail: fail, leaders: map[ident.Term]ident.HostID{}, tables: map[ident.Index]string{}, applied: map[*world.World]ident.Index{}}
 	f.Seen = w.see
 	return w
 }
 
-func (w *watch) see(h *virtual.Host, effects []world.Effect) {
+func (w *watch) see(h *vtime.Host, effects []world.Effect) {
 	for _, e := range effects {
 		if e.Send != nil {
 			w.seeMessage(h, e.Send.Message)
@@ -71,7 +71,7 @@
 	w.seeOwners(h)
 }
 
-func (w *watch) seeMessage(h *virtual.Host, m world.Message) {
+func (w *watch) seeMessage(h *vtime.Host, m world.Message) {
 	if m.Quorum == nil || (m.Quorum.Kind != quorum.Append && m.Quorum.Kind != quorum.Install) {
 		return
 	}
@@ -81,7 +81,7 @@
 	w.leaders[m.Quorum.Term] = h.Name
 }
 
-func (w *watch) seeState(h *virtual.Host) {
+func (w *watch) seeState(h *vtime.Host) {
 	s := h.World.State()
 	last := w.applied[h.World]
 	if s.Applied < last {
@@ -103,7 +103,7 @@
 }
 
 // seeOwners compares all hosts that may act on an endpoint at this moment.
-func (w *watch) seeOwners(h *virtual.Host) {
+func (w *watch) seeOwners(h *vtime.Host) {
 	if !w.servesAt(h) {
 		return
 	}
@@ -123,9 +123,9 @@
 }
 
 // servesAt asks with the host's clock of this moment, not of its last event.
-func (w *watch) servesAt(h *virtual.Host) bool { return h.World.ServingAt(w.Clock(h)) }
+func (w *watch) servesAt(h *vtime.Host) bool { return h.World.ServingAt(w.Clock(h)) }
 
-func (w *watch) edit(h *virtual.Host) {
+func (w *watch) edit(h *vtime.Host) {
 	w.edits++
 	key := rows.KeyOf("w", ident.Adapter(rune('a'+w.edits%5)))
 	row := rows.Row{Workspace: "w", Adapter: ident.Adapter(rune('a' + w.edits%5)), Version: ident.Version(fmt.Sprint(w.edits)), Weight: 1}
@@ -134,39 +134,39 @@
 	w.Propose(h, world.Proposal{Command: state.Command{Edit: &e}})
 }
 
-func (w *watch) announce(h *virtual.Host, n int) {
+func (w *watch) announce(h *vtime.Host, n int) {
 	e := lease.Endpoint{ID: ident.EndpointID(fmt.Sprint("p", n)), Kind: lease.Plain, Service: "s", Domain: "a", MaxRunning: 1, Instance: 1}
 	w.Handle(h, world.Event{Announced: &e})
 }
 
 // faults are the steps that a run is drawn from.
-var faults = map[string]func(w *watch, h, other *virtual.Host){
-	"crash":  func(w *watch, h, _ *virtual.Host) { w.Crash(h) },
-	"start":  func(w *watch, h, _ *virtual.Host) { w.Start(h) },
-	"freeze": func(w *watch, h, _ *virtual.Host) { w.Freeze(h) },
-	"thaw":   func(w *watch, h, _ *virtual.Host) { w.Thaw(h) },
-	"cut":    func(w *watch, h, other *virtual.Host) { w.Cut(h.Name, other.Name) },
-	"isolate": func(w *watch, h, _ *virtual.Host) {
+var faults = map[string]func(w *watch, h, other *vtime.Host){
+	"crash":  func(w *watch, h, _ *vtime.Host) { w.Crash(h) },
+	"start":  func(w *watch, h, _ *vtime.Host) { w.Start(h) },
+	"freeze": func(w *watch, h, _ *vtime.Host) { w.Freeze(h) },
+	"thaw":   func(w *watch, h, _ *vtime.Host) { w.Thaw(h) },
+	"cut":    func(w *watch, h, other *vtime.Host) { w.Cut(h.Name, other.Name) },
+	"isolate": func(w *watch, h, _ *vtime.Host) {
 		for _, o := range w.Hosts {
 			w.Cut(h.Name, o.Name)
 			w.Cut(o.Name, h.Name)
 		}
 	},
-	"heal": func(w *watch, _, _ *virtual.Host) { w.Heal() },
-	"wipe": func(w *watch, h, _ *virtual.Host) { w.wipe(h) },
-	"edit": func(w *watch, h, _ *virtual.Host) {
+	"heal": func(w *watch, _, _ *vtime.Host) { w.Heal() },
+	"wipe": func(w *watch, h, _ *vtime.Host) { w.wipe(h) },
+	"edit": func(w *watch, h, _ *vtime.Host) {
 		if h.World != nil {
 			w.edit(h)
 		}
 	},
-	"restart": func(w *watch, h, _ *virtual.Host) {
+	"restart": func(w *watch, h, _ *vtime.Host) {
 		w.Crash(h)
 		w.Start(h)
 	},
 }
 
 // wipe empties a disk if all others are whole: more lost disks than that are outside what any log can survive.
-func (w *watch) wipe(h *virtual.Host) {
+func (w *watch) wipe(h *vtime.Host) {
 	if h.Disk == nil {
 		return
 	}
@@ -180,7 +180,7 @@
 }
 
 // whole reports whether the host's disk votes and holds all that was accepted.
-func (w *watch) whole(h *virtual.Host) bool {
+func (w *watch) whole(h *vtime.Host) bool {
 	for _, m := range h.World.Members() {
 		if m.Host == h.Name && (!m.Voter || m.Disk != h.Disk.Stored().Disk) {
 			return false
@@ -194,9 +194,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		p := world.Defaults()
 		p.CompactAfter = rapid.SampledFrom([]int{8, 40, 4096}).Draw(t, "compact-after")
-		f := virtual.New(virtual.Config{
+		f := vtime.New(vtime.Config{
 			Hosts: 5, Disks: 3, Domains: 3, Params: p, Sync: 30 * time.Millisecond, Seed: rapid.Uint64().Draw(t, "seed"),
-			Network: virtual.Network{Delay: time.Millisecond, Jitter: 40 * time.Millisecond, Loss: 0.05, Repeat: 0.05},
+			Network: vtime.Network{Delay: time.Millisecond, Jitter: 40 * time.Millisecond, Loss: 0.05, Repeat: 0.05},
 		})
 		w := newWatch(f, t.Fatalf)
 		f.Run(4 * time.Second)
--- a/fakes/virtual/disk.go
+++ b/fakes/vtime/disk.go
@@ -1,4 +1,4 @@
-package virtual
+package vtime
 
 import (
 	"fmt"
--- a/fakes/virtual/fleet.go
+++ b/fakes/vtime/fleet.go
@@ -1,6 +1,6 @@
-// Package virtual runs the decision cores of a whole deployment in virtual time: a network that loses, repeats and
+// Package vtime runs the decision cores of a whole deployment in virtual time: a network that loses, repeats and
 // reorders, disks that forget what was not synced, hosts that crash and freeze. One seed gives one run.
-package virtual
+package vtime
 
 import (
 	"container/heap"
