Make the operators' commands whole: table, status, explain, exit codes

Cause: the command line could only list and put rows, printed the raw status of one host, and explained a request from one host's notes alone; an operator could not see a conflict or know whether to send a lost edit again. Ruled out: a fan-out inside the entry hosts (it would add messages between peers for a rare question; the command line can ask all hosts of the new /admin/hosts itself and tell which of them are silent); replacing the whole row by put (a forgotten flag would reset a weight), so put keeps what is not named; deriving edit ids of an import from its content (a repeated, intended import would silently do nothing), so they are PREFIX-LINE and the prefix is printed. Before: explain showed the route line only when the owner was another host.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -30,6 +30,8 @@
 	// Pins counts the requests running on the adapter; a pinned one is never evicted.
 	Pins    int
 	LastUse ident.Time
+	// ResidentAt is when the load ended; 0 when the adapter was found resident.
+	ResidentAt ident.Time
 }
 
 // Site is an owned endpoint with what its owner knows of it.
--- a/core/world/loads.go
+++ b/core/world/loads.go
@@ -61,6 +61,7 @@
 	}
 	if l.Err == "" {
 		slot.Loading = false
+		slot.ResidentAt = w.now
 		return
 	}
 	delete(site.Slots, l.Model)
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -1,4 +1,4 @@
-// Package admin serves operators over HTTP: the table, planned stops, status and explanations.
+// Package admin serves operators over HTTP: the table, planned stops, status, explanations and the web page.
 package admin
 
 import (
@@ -7,8 +7,6 @@
 
 	"shallotgap/core/drain"
 	"shallotgap/core/ident"
-	"shallotgap/core/lease"
-	"shallotgap/core/place"
 	"shallotgap/core/rows"
 	"shallotgap/core/state"
 	"shallotgap/core/world"
@@ -32,8 +30,10 @@
 func (s *Server) Register(mux *http.ServeMux) {
 	mux.HandleFunc("GET /admin/table", s.table)
 	mux.HandleFunc("POST /admin/table", s.edit)
+	mux.HandleFunc("GET /admin/history", s.history)
 	mux.HandleFunc("GET /admin/stops", s.stops)
 	mux.HandleFunc("POST /admin/stops", s.mark)
+	mux.HandleFunc("GET /admin/hosts", s.hosts)
 	mux.HandleFunc("GET /admin/status", s.status)
 	mux.HandleFunc("GET /admin/explain/{id}", s.explain)
 }
@@ -44,11 +44,30 @@
 	Rows  []rows.Row  `json:"rows"`
 }
 
+// table serves GET /admin/table?key=WORKSPACE/ADAPTER; without a key it gives all rows.
 func (s *Server) table(w http.ResponseWriter, r *http.Request) {
+	key := rows.RowKey(r.URL.Query().Get("key"))
 	out := Table{Rows: []rows.Row{}}
 	s.view(w, r, &out, func(v *world.World) {
 		out.Index = v.State().Applied
-		out.Rows = append(out.Rows, v.State().Rows.List()...)
+		if key == "" {
+			out.Rows = append(out.Rows, v.State().Rows.List()...)
+		} else if row, ok := v.State().Rows.Get(key); ok {
+			out.Rows = append(out.Rows, row)
+		}
+	})
+}
+
+// history serves GET /admin/history?key=WORKSPACE/ADAPTER, oldest change first.
+func (s *Server) history(w http.ResponseWriter, r *http.Request) {
+	key := rows.RowKey(r.URL.Query().Get("key"))
+	out := []rows.Change{}
+	s.view(w, r, &out, func(v *world.World) {
+		for _, c := range v.State().Rows.History() {
+			if key == "" || c.Edit.Key == key {
+				out = append(out, c)
+			}
+		}
 	})
 }
 
@@ -93,27 +112,31 @@
 	s.view(w, r, &out, func(v *world.World) { out = append(out, v.State().Stops.List()...) })
 }
 
+// Host is one entry host as the settings name it.
+type Host struct {
+	Host   ident.HostID   `json:"host"`
+	URL    string         `json:"url"`
+	Domain ident.DomainID `json:"domain"`
+	Disk   bool           `json:"disk"`
+}
+
+// hosts lists all entry hosts, also those that stop or are down.
+func (s *Server) hosts(w http.ResponseWriter, _ *http.Request) {
+	out := []Host{}
+	for _, h := range s.host.Settings.Hosts {
+		out = append(out, Host{Host: h.Name, URL: "http://" + h.Listen, Domain: h.Domain, Disk: h.Disk})
+	}
+	writeJSON(w, http.StatusOK, out)
+}
+
 // Status is what one host knows of the system.
 type Status struct {
-	Host      ident.HostID   `json:"host"`
-	Leader    ident.HostID   `json:"leader"`
-	Serving   bool           `json:"serving"`
-	Applied   ident.Index    `json:"applied"`
-	Endpoints []lease.Owned  `json:"endpoints"`
-	Reports   []place.Report `json:"reports"`
-	Stops     []drain.Stop   `json:"stops"`
+	world.Overview
 }
 
 func (s *Server) status(w http.ResponseWriter, r *http.Request) {
-	out := Status{Host: s.host.Settings.Name}
-	s.view(w, r, &out, func(v *world.World) {
-		out.Leader = v.Leader()
-		out.Serving = v.Serving()
-		out.Applied = v.State().Applied
-		out.Endpoints = v.State().Owners.List()
-		out.Reports = v.Reports()
-		out.Stops = v.State().Stops.List()
-	})
+	var out Status
+	s.view(w, r, &out, func(v *world.World) { out.Overview = v.Overview() })
 }
 
 func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
@@ -124,7 +147,7 @@
 	}
 	notes := s.host.Notes(id)
 	if notes == nil {
-		notes = []world.Note{}
+		notes = []host.Noted{}
 	}
 	writeJSON(w, http.StatusOK, notes)
 }
--- a/io/cmds/client.go
+++ b/io/cmds/client.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 )
@@ -16,8 +18,9 @@
 
 // Remote are the flags of commands that talk to a running system.
 type Remote struct {
-	Entry string `help:"Address of any entry host." default:"http://127.0.0.1:7100" env:"SHALLOTGAP_ENTRY"`
-	JSON  bool   `help:"Print JSON with kebab-case names." name:"json"`
+	Entry     string `help:"Address of any entry host." default:"http://127.0.0.1:7100" env:"SHALLOTGAP_ENTRY"`
+	TokenFile string `help:"File with the operator's token; needed where the settings ask for one." env:"SHALLOTGAP_TOKEN_FILE"`
+	JSON      bool   `help:"Print JSON with kebab-case names." name:"json"`
 }
 
 func (r Remote) get(ctx context.Context, path string, out any) error {
@@ -31,31 +34,64 @@
 func (r Remote) call(ctx context.Context, method, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	req, err := r.request(ctx, method, path, in)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return coded(NoAnswer, fmt.Errorf("%s %s: %w", method, path, err))
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return coded(NoAnswer, fmt.Errorf("%s %s: %w", method, path, err))
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return statusError(resp.StatusCode, fmt.Errorf("%s %s: %s: %s", method, path, resp.Status, bytes.TrimSpace(data)))
+	}
+	return json.Unmarshal(data, out)
+}
+
+func (r Remote) request(ctx context.Context, method, path string, in any) (*http.Request, error) {
 	var body io.Reader
 	if in != nil {
 		data, err := json.Marshal(in)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		body = bytes.NewReader(data)
 	}
 	req, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(r.Entry, "/")+path, body)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return fmt.Errorf("%s %s: %w", method, path, err)
+	if in != nil {
+		req.Header.Set("Content-Type", "application/json")
 	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
+	if r.TokenFile == "" {
+		return req, nil
+	}
+	token, err := os.ReadFile(r.TokenFile)
 	if err != nil {
-		return fmt.Errorf("%s %s: %w", method, path, err)
+		return nil, coded(Usage, fmt.Errorf("read the operator's token: %w", err))
 	}
-	if resp.StatusCode >= http.StatusBadRequest {
-		return fmt.Errorf("%s %s: %s: %s", method, path, resp.Status, bytes.TrimSpace(data))
+	req.Header.Set("Authorization", "Bearer "+strings.TrimSpace(string(token)))
+	return req, nil
+}
+
+// statusError returns the error of an HTTP status with its exit code.
+func statusError(status int, err error) error {
+	if status == http.StatusServiceUnavailable {
+		return coded(NoAnswer, err)
 	}
-	return json.Unmarshal(data, out)
+	return err
+}
+
+// unanswered reports whether err leaves open if the call took effect.
+func unanswered(err error) bool {
+	var e *CodedError
+	return errors.As(err, &e) && e.Code == NoAnswer
 }
 
 func printJSON(w io.Writer, v any) error {
--- a/io/cmds/cmds.go
+++ b/io/cmds/cmds.go
@@ -7,11 +7,13 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kong"
 
 	"shallotgap/io/conf"
+	"shallotgap/io/texts"
 )
 
 // Version is the version that the program reports.
@@ -23,7 +25,7 @@
 	Check   Check   `cmd:"" help:"Check a settings file without starting."`
 	Table   Table   `cmd:"" help:"Read and edit the table of rows."`
 	Stop    Stop    `cmd:"" help:"Plan, withdraw and list planned stops."`
-	Status  Status  `cmd:"" help:"Show what one host knows of the system."`
+	Status  Status  `cmd:"" help:"Show hosts, leader, leases, endpoints, residency, loads waited for and stops."`
 	Explain Explain `cmd:"" help:"Tell what happened to a request and why."`
 	Version Print   `cmd:"" help:"Print the version."`
 }
@@ -40,21 +42,34 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	var cli CLI
-	parser, err := kong.New(&cli, kong.Name("shallotgap"), kong.Description("Serves very many LoRA adapters over shared base models."), kong.Writers(out, errOut))
+	parser, err := kong.New(&cli, kong.Name("shallotgap"), kong.Description(texts.About), kong.Writers(out, errOut), kong.UsageOnError(), kong.Help(help))
 	if err != nil {
 		_, _ = fmt.Fprintln(errOut, err)
-		return 2
+		return int(Usage)
 	}
 	parsed, err := parser.Parse(args)
 	if err != nil {
 		_, _ = fmt.Fprintf(errOut, "shallotgap: %v\n", err)
-		return 2
+		return int(Usage)
 	}
-	if err := parsed.Run(&Env{Context: ctx, Out: out, Err: errOut}); err != nil {
+	err = parsed.Run(&Env{Context: ctx, Out: out, Err: errOut})
+	if err != nil {
 		_, _ = fmt.Fprintf(errOut, "shallotgap: %v\n", err)
-		return 1
 	}
-	return 0
+	return int(codeOf(err))
+}
+
+// help prints the usual help, then the examples of the command.
+func help(options kong.HelpOptions, ctx *kong.Context) error {
+	if err := kong.DefaultHelpPrinter(options, ctx); err != nil {
+		return err
+	}
+	name := ""
+	if node := ctx.Selected(); node != nil {
+		name = strings.TrimSpace(strings.TrimPrefix(node.Path(), "shallotgap"))
+	}
+	_, err := fmt.Fprint(ctx.Stdout, texts.ExamplesOf(name))
+	return err
 }
 
 // Check is the command that checks a settings file.
@@ -65,9 +80,9 @@
 // Run checks the settings.
 func (c *Check) Run(env *Env) error {
 	if _, err := conf.Load(c.Settings); err != nil {
-		return err
+		return coded(Usage, err)
 	}
-	_, err := fmt.Fprintf(env.Out, "%s: ok\n", c.Settings)
+	_, err := fmt.Fprintf(env.Out, texts.SettingsOK, c.Settings)
 	return err
 }
 
--- /dev/null
+++ b/io/cmds/explain.go
@@ -0,0 +1,80 @@
+package cmds
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"text/tabwriter"
+
+	"shallotgap/core/ident"
+	"shallotgap/io/host"
+	"shallotgap/io/texts"
+)
+
+// Explain tells what happened to a request, as all hosts remember it.
+type Explain struct {
+	Remote
+	Request string `arg:"" help:"Request id, as in the header Shallotgap-Request."`
+}
+
+// explained is what the explain command prints as JSON.
+type explained struct {
+	Request string                `json:"request"`
+	Notes   []host.Noted          `json:"notes"`
+	Silent  []ident.HostID        `json:"hosts-without-answer"`
+	hosts   []asked[[]host.Noted] // as they answered
+}
+
+// Run prints the decisions on the request in order, with their causes.
+func (c *Explain) Run(env *Env) error {
+	if _, err := ident.ParseRequestID(c.Request); err != nil {
+		return coded(Usage, err)
+	}
+	list, err := askAll[[]host.Noted](env.Context, c.Remote, "/admin/explain/"+c.Request)
+	if err != nil {
+		return err
+	}
+	e := gather(c.Request, list)
+	if c.JSON {
+		if err := printJSON(env.Out, e); err != nil {
+			return err
+		}
+		return silent(list)
+	}
+	if err := e.print(env); err != nil {
+		return err
+	}
+	return silent(list)
+}
+
+// gather puts the notes of all hosts in the order of their wall clocks. Notes of one host keep their order.
+func gather(request string, list []asked[[]host.Noted]) explained {
+	e := explained{Request: request, Notes: []host.Noted{}, Silent: []ident.HostID{}, hosts: list}
+	for _, a := range list {
+		if a.Err != "" {
+			e.Silent = append(e.Silent, a.Host.Host)
+		}
+		e.Notes = append(e.Notes, a.Answer...)
+	}
+	slices.SortStableFunc(e.Notes, func(x, y host.Noted) int {
+		if x.Host == y.Host {
+			return cmp.Compare(x.At, y.At)
+		}
+		return x.Wall.Compare(y.Wall)
+	})
+	return e
+}
+
+func (e explained) print(env *Env) error {
+	if len(e.Notes) == 0 {
+		_, _ = fmt.Fprintf(env.Out, texts.NoNotes, e.Request)
+		return nil
+	}
+	w := tabwriter.NewWriter(env.Out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "AFTER\tHOST\tSTEP\tWHAT AND WHY")
+	for _, n := range e.Notes {
+		after := n.Wall.Sub(e.Notes[0].Wall).Seconds() * 1000
+		_, _ = fmt.Fprintf(w, "%.1fms\t%s\t%s\t%s\n", after, n.Host, n.Step, texts.Sentence(n.Step, n.Peer, n.Cause))
+	}
+	return w.Flush()
+}
--- a/io/cmds/stop.go
+++ b/io/cmds/stop.go
@@ -3,12 +3,13 @@
 import (
 	"crypto/rand"
 	"fmt"
+	"text/tabwriter"
+	"time"
 
 	"shallotgap/core/drain"
 	"shallotgap/core/ident"
 	"shallotgap/core/state"
-	"shallotgap/core/world"
-	"shallotgap/io/admin"
+	"shallotgap/io/texts"
 )
 
 // Stop groups the commands on planned stops.
@@ -18,44 +19,71 @@
 	List     StopList     `cmd:"" help:"List the planned stops."`
 }
 
+// Target names what is stopped.
+type Target struct {
+	Target drain.Target `arg:"" enum:"host,endpoint" help:"host or endpoint."`
+	Name   string       `arg:"" help:"Name of the host or endpoint."`
+}
+
 // StopMark plans a stop.
 type StopMark struct {
 	Remote
-	Target drain.Target `arg:"" enum:"host,endpoint" help:"host or endpoint."`
-	Name   string       `arg:"" help:"Name of the host or endpoint."`
+	Spread
+	Target
+	At     *time.Time   `help:"When the drain starts, as in 2026-12-03T22:00:00Z; at once where left out."`
+	EditID ident.EditID `help:"Id of the mark; send one whose answer was lost again with the same id." name:"edit-id"`
 }
 
 // Run plans the stop.
 func (c *StopMark) Run(env *Env) error {
-	return mark(env, c.Remote, drain.Mark{Target: c.Target, Name: c.Name})
+	m := drain.Mark{ID: c.EditID, Target: c.Target.Target, Name: c.Name}
+	if c.At != nil {
+		m.At = c.At.Unix()
+	}
+	return mark(env, c.Remote, c.Spread, m, texts.StopMarked)
 }
 
 // StopWithdraw withdraws a stop.
 type StopWithdraw struct {
 	Remote
-	Target drain.Target `arg:"" enum:"host,endpoint" help:"host or endpoint."`
-	Name   string       `arg:"" help:"Name of the host or endpoint."`
+	Spread
+	Target
+	EditID ident.EditID `help:"Id of the withdrawal; send one whose answer was lost again with the same id." name:"edit-id"`
 }
 
 // Run withdraws the stop.
 func (c *StopWithdraw) Run(env *Env) error {
-	return mark(env, c.Remote, drain.Mark{Target: c.Target, Name: c.Name, Withdraw: true})
+	m := drain.Mark{ID: c.EditID, Target: c.Target.Target, Name: c.Name, Withdraw: true}
+	return mark(env, c.Remote, c.Spread, m, texts.StopGone)
 }
 
-func mark(env *Env, r Remote, m drain.Mark) error {
-	m.ID = ident.EditID(rand.Text())
+func mark(env *Env, r Remote, s Spread, m drain.Mark, done string) error {
+	if m.ID == "" {
+		m.ID = ident.EditID(rand.Text())
+	}
 	var res state.Result
-	if err := r.post(env.Context, "/admin/stops", m, &res); err != nil {
+	err := r.post(env.Context, "/admin/stops", m, &res)
+	if unanswered(err) {
+		return coded(NoAnswer, fmt.Errorf(texts.Unknown, m.ID, err, m.ID))
+	}
+	if err != nil {
 		return err
 	}
 	if r.JSON {
-		return printJSON(env.Out, res)
+		if err := printJSON(env.Out, res); err != nil {
+			return err
+		}
+	}
+	if res.Mark == nil {
+		return fmt.Errorf(texts.NoResult, m.ID)
 	}
-	if res.Mark == nil || !res.Mark.Accepted {
-		return fmt.Errorf("stop %s: refused: %+v", m.Name, res.Mark)
+	if !res.Mark.Accepted {
+		return coded(Refused, fmt.Errorf(texts.StopRefused, m.Name, res.Mark.Reason))
 	}
-	_, err := fmt.Fprintf(env.Out, "accepted at index %d\n", res.Index)
-	return err
+	if !r.JSON {
+		_, _ = fmt.Fprintf(env.Out, done, m.Name, res.Index)
+	}
+	return s.await(env, r, res.Index)
 }
 
 // StopList lists the stops.
@@ -72,43 +100,14 @@
 	if c.JSON {
 		return printJSON(env.Out, list)
 	}
-	for _, s := range list {
-		_, _ = fmt.Fprintf(env.Out, "%s\t%s\t%s\n", s.ID(), s.Phase, s.Waiting)
-	}
-	return nil
+	return printStops(env, list)
 }
 
-// Status shows what one host knows.
-type Status struct {
-	Remote
-}
-
-// Run prints the status.
-func (c *Status) Run(env *Env) error {
-	var s admin.Status
-	if err := c.get(env.Context, "/admin/status", &s); err != nil {
-		return err
-	}
-	return printJSON(env.Out, s)
-}
-
-// Explain tells what happened to a request.
-type Explain struct {
-	Remote
-	Request string `arg:"" help:"Request id, as in the header Shallotgap-Request."`
-}
-
-// Run prints the decisions on the request in order.
-func (c *Explain) Run(env *Env) error {
-	var notes []world.Note
-	if err := c.get(env.Context, "/admin/explain/"+c.Request, &notes); err != nil {
-		return err
-	}
-	if c.JSON {
-		return printJSON(env.Out, notes)
-	}
-	for _, n := range notes {
-		_, _ = fmt.Fprintf(env.Out, "%s\t%s\t%s\n", n.Step, n.Cause, n.Peer)
+func printStops(env *Env, list []drain.Stop) error {
+	w := tabwriter.NewWriter(env.Out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "STOP\tSTARTS\tPHASE\tWAITS-FOR")
+	for _, s := range list {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", s.ID(), texts.StopStart(s.At), texts.Phases[s.Phase], s.Waiting)
 	}
-	return nil
+	return w.Flush()
 }
--- a/io/cmds/table.go
+++ b/io/cmds/table.go
@@ -1,20 +1,53 @@
 package cmds
 
 import (
-	"crypto/rand"
+	"encoding/json"
 	"fmt"
+	"net/url"
+	"strconv"
+	"strings"
 	"text/tabwriter"
 
 	"shallotgap/core/ident"
 	"shallotgap/core/rows"
-	"shallotgap/core/state"
 	"shallotgap/io/admin"
+	"shallotgap/io/texts"
 )
 
 // Table groups the commands on rows.
 type Table struct {
-	List TableList `cmd:"" help:"List the rows."`
-	Put  TablePut  `cmd:"" help:"Add or change a row."`
+	List    TableList    `cmd:"" help:"List the rows."`
+	Get     TableGet     `cmd:"" help:"Show one row."`
+	Put     TablePut     `cmd:"" help:"Add or change a row; what is not named keeps its value."`
+	Delete  TableDelete  `cmd:"" help:"Delete a row."`
+	Export  TableExport  `cmd:"" help:"Write all rows as CSV."`
+	Import  TableImport  `cmd:"" help:"Add and change rows from CSV, one edit a changed line."`
+	Diff    TableDiff    `cmd:"" help:"Show what an import of a CSV file would change."`
+	History TableHistory `cmd:"" help:"List the latest accepted edits."`
+}
+
+// columns are the names of a row's fields, in the order of all tables and CSV files.
+var columns = []string{"workspace", "adapter", "version", "previous", "weight", "max-running", "max-rate", "row-version"}
+
+// cells returns a row's fields as text; a row that does not exist has empty cells.
+func cells(r *rows.Row) []string {
+	if r == nil {
+		return make([]string, len(columns))
+	}
+	number := func(n uint32) string { return strconv.FormatUint(uint64(n), 10) }
+	return []string{
+		string(r.Workspace), string(r.Adapter), string(r.Version), string(r.Previous), number(r.Weight), number(r.MaxRunning),
+		number(r.MaxRate), strconv.FormatUint(uint64(r.RowVersion), 10),
+	}
+}
+
+func printRows(env *Env, list []rows.Row) error {
+	w := tabwriter.NewWriter(env.Out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, strings.ToUpper(strings.Join(columns, "\t")))
+	for _, r := range list {
+		_, _ = fmt.Fprintln(w, strings.Join(cells(&r), "\t"))
+	}
+	return w.Flush()
 }
 
 // TableList lists the rows.
@@ -31,55 +64,134 @@
 	if c.JSON {
 		return printJSON(env.Out, t)
 	}
-	w := tabwriter.NewWriter(env.Out, 0, 4, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "WORKSPACE\tADAPTER\tVERSION\tPREVIOUS\tWEIGHT\tMAX-RUNNING\tMAX-RATE\tROW-VERSION")
-	for _, r := range t.Rows {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\n", r.Workspace, r.Adapter, r.Version, r.Previous, r.Weight, r.MaxRunning, r.MaxRate, r.RowVersion)
+	return printRows(env, t.Rows)
+}
+
+// RowName names a row on the command line.
+type RowName struct {
+	Workspace ident.Workspace `arg:"" help:"Workspace of the row."`
+	Adapter   ident.Adapter   `arg:"" help:"Adapter of the row, without a version."`
+}
+
+// TableGet shows one row.
+type TableGet struct {
+	Remote
+	RowName
+}
+
+// Run shows the row.
+func (c *TableGet) Run(env *Env) error {
+	key := rows.KeyOf(c.Workspace, c.Adapter)
+	row, err := c.current(env, key)
+	if err != nil {
+		return err
 	}
-	return w.Flush()
+	if row.RowVersion == 0 {
+		return fmt.Errorf(texts.NoRow, key)
+	}
+	if c.JSON {
+		return printJSON(env.Out, row)
+	}
+	return printRows(env, []rows.Row{row})
 }
 
 // TablePut adds or changes a row.
 type TablePut struct {
-	Remote
-	Workspace  ident.Workspace  `arg:"" help:"Workspace of the row."`
-	Model      string           `arg:"" help:"adapter@version."`
-	Previous   ident.Version    `help:"Version that stays callable while callers move on."`
-	Weight     uint32           `help:"Share against other workspaces." default:"1"`
-	MaxRunning uint32           `help:"Requests running at once; 0 for no limit."`
-	MaxRate    uint32           `help:"Requests a second; 0 for no limit."`
-	From       ident.RowVersion `help:"Row version that the change starts from; 0 for a new row."`
-	EditID     ident.EditID     `help:"Id of the edit; resend a lost one with the same id." name:"edit-id"`
+	Editing
+	Workspace  ident.Workspace `arg:"" help:"Workspace of the row."`
+	Model      string          `arg:"" help:"adapter@version."`
+	Previous   *ident.Version  `help:"Version that stays callable while callers move on; empty for none."`
+	Weight     *uint32         `help:"Share against other workspaces; 1 in a new row."`
+	MaxRunning *uint32         `help:"Requests running at once; 0 for no limit."`
+	MaxRate    *uint32         `help:"Requests a second; 0 for no limit."`
 }
 
 // Run sends the edit and prints its result.
 func (c *TablePut) Run(env *Env) error {
 	m, err := ident.ParseModel(c.Model)
+	if err != nil {
+		return coded(Usage, err)
+	}
+	key := rows.KeyOf(c.Workspace, m.Adapter)
+	old, err := c.start(env, key)
 	if err != nil {
 		return err
 	}
-	if c.EditID == "" {
-		c.EditID = ident.EditID(rand.Text())
+	row := c.changed(old, m)
+	return c.apply(env, rows.Edit{ID: c.EditID, Key: key, From: old.RowVersion, Row: &row}, texts.Accepted)
+}
+
+// changed returns the old row with the named fields replaced.
+func (c *TablePut) changed(row rows.Row, m ident.Model) rows.Row {
+	row.Workspace, row.Adapter, row.Version = c.Workspace, m.Adapter, m.Version
+	row.Weight = max(row.Weight, 1)
+	set(&row.Previous, c.Previous)
+	set(&row.Weight, c.Weight)
+	set(&row.MaxRunning, c.MaxRunning)
+	set(&row.MaxRate, c.MaxRate)
+	return row
+}
+
+func set[T any](field, value *T) {
+	if value != nil {
+		*field = *value
 	}
-	row := rows.Row{Workspace: c.Workspace, Adapter: m.Adapter, Version: m.Version, Previous: c.Previous, Weight: c.Weight, MaxRunning: c.MaxRunning, MaxRate: c.MaxRate}
-	e := rows.Edit{ID: c.EditID, Key: rows.KeyOf(c.Workspace, m.Adapter), From: c.From, Row: &row}
-	var res state.Result
-	if err := c.post(env.Context, "/admin/table", e, &res); err != nil {
+}
+
+// TableDelete deletes a row.
+type TableDelete struct {
+	Editing
+	RowName
+}
+
+// Run sends the edit and prints its result.
+func (c *TableDelete) Run(env *Env) error {
+	key := rows.KeyOf(c.Workspace, c.Adapter)
+	resent := c.EditID != ""
+	old, err := c.start(env, key)
+	if err != nil {
 		return err
 	}
-	return c.print(env, res)
+	if old.RowVersion == 0 && !resent {
+		return fmt.Errorf(texts.NoRow, key)
+	}
+	return c.apply(env, rows.Edit{ID: c.EditID, Key: key, From: old.RowVersion}, texts.Deleted)
+}
+
+// TableHistory lists accepted edits.
+type TableHistory struct {
+	Remote
+	Key rows.RowKey `arg:"" optional:"" help:"Only of this row: WORKSPACE/ADAPTER."`
 }
 
-func (c *TablePut) print(env *Env, res state.Result) error {
+// Run lists the edits, oldest first.
+func (c *TableHistory) Run(env *Env) error {
+	var list []rows.Change
+	if err := c.get(env.Context, "/admin/history?key="+url.QueryEscape(string(c.Key)), &list); err != nil {
+		return err
+	}
 	if c.JSON {
-		return printJSON(env.Out, res)
+		return printJSON(env.Out, list)
 	}
-	if res.Edit == nil {
-		return fmt.Errorf("edit %s: no result", c.EditID)
+	w := tabwriter.NewWriter(env.Out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "INDEX\tEDIT-ID\tROW\tFROM\tCONTENT")
+	for _, ch := range list {
+		_, _ = fmt.Fprintf(w, "%d\t%s\t%s\t%d\t%s\n", ch.Index, ch.Edit.ID, ch.Edit.Key, ch.Edit.From, content(ch.Edit.Row))
 	}
-	if res.Edit.Verdict != rows.Accepted {
-		return fmt.Errorf("edit %s: %s: %s", c.EditID, res.Edit.Verdict, res.Edit.Reason)
+	return w.Flush()
+}
+
+func content(r *rows.Row) string {
+	if r == nil {
+		return "deleted"
 	}
-	_, err := fmt.Fprintf(env.Out, "accepted at index %d\n", res.Edit.Index)
-	return err
+	short := struct {
+		Version    ident.Version `json:"version"`
+		Previous   ident.Version `json:"previous,omitempty"`
+		Weight     uint32        `json:"weight"`
+		MaxRunning uint32        `json:"max-running,omitempty"`
+		MaxRate    uint32        `json:"max-rate,omitempty"`
+	}{r.Version, r.Previous, r.Weight, r.MaxRunning, r.MaxRate}
+	data, _ := json.Marshal(short)
+	return string(data)
 }
--- a/io/host/effect.go
+++ b/io/host/effect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"shallotgap/core/ident"
 	"shallotgap/core/work"
@@ -42,7 +43,7 @@
 	case e.Asked != nil:
 		h.settle(e.Asked.Ticket, *e.Asked)
 	case e.Note != nil:
-		h.notes.add(*e.Note)
+		h.notes.add(Noted{Note: *e.Note, Host: h.Settings.Name, Wall: time.Now()})
 	}
 }
 
--- a/io/host/submit.go
+++ b/io/host/submit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 
 	"shallotgap/core/claim"
 	"shallotgap/core/ident"
@@ -100,38 +99,3 @@
 		answer <- v
 	}
 }
-
-// maxNotes is the number of decision notes that a host keeps.
-const maxNotes = 50_000
-
-// notebook keeps the latest decision notes.
-type notebook struct {
-	mu    sync.Mutex
-	notes []world.Note
-	next  int
-}
-
-func (n *notebook) add(note world.Note) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if len(n.notes) < maxNotes {
-		n.notes = append(n.notes, note)
-		return
-	}
-	n.notes[n.next] = note
-	n.next = (n.next + 1) % maxNotes
-}
-
-// Notes returns what this host decided on a request, in order.
-func (h *Host) Notes(id ident.RequestID) []world.Note {
-	h.notes.mu.Lock()
-	defer h.notes.mu.Unlock()
-	var list []world.Note
-	for i := range h.notes.notes {
-		note := h.notes.notes[(h.notes.next+i)%len(h.notes.notes)]
-		if note.Request == id {
-			list = append(list, note)
-		}
-	}
-	return list
-}
--- /dev/null
+++ b/io/texts/examples.go
@@ -0,0 +1,48 @@
+package texts
+
+// About tells what the program is.
+const About = `Serves very many LoRA adapters over shared base models.
+
+Exit codes: 0 done; 1 failed; 2 wrong arguments or settings; 3 conflict, the row was changed meanwhile; 4 no answer or no majority,
+send again with the same --edit-id; 5 refused, nothing was changed; 6 accepted, but not seen in force everywhere in time;
+7 some hosts gave no answer, the output is partial.`
+
+// examples are shown below the help of a command.
+var examples = map[string]string{
+	"serve": "shallotgap serve /etc/shallotgap/e1.ini",
+	"check": "shallotgap check /etc/shallotgap/e1.ini",
+	"table": `shallotgap table put dairy feed-advice@v1 --weight 2 --wait
+shallotgap table export >rows.csv`,
+	"table list": `shallotgap table list
+shallotgap table list --json --entry http://10.0.0.4:7100`,
+	"table get": "shallotgap table get dairy feed-advice",
+	"table put": `shallotgap table put dairy feed-advice@v1 --weight 2 --wait
+shallotgap table put dairy feed-advice@v2 --previous v1
+shallotgap table put dairy feed-advice@v2 --from 17 --edit-id change-204`,
+	"table delete": "shallotgap table delete dairy feed-advice",
+	"table export": "shallotgap table export >rows.csv",
+	"table import": `shallotgap table import rows.csv --wait
+shallotgap table import rows.csv --edit-id import-2026-12-03`,
+	"table diff": "shallotgap table diff rows.csv",
+	"table history": `shallotgap table history
+shallotgap table history dairy/feed-advice --json`,
+	"stop mark": `shallotgap stop mark host e3
+shallotgap stop mark endpoint g1 --at 2026-12-03T22:00:00Z`,
+	"stop withdraw": "shallotgap stop withdraw host e3",
+	"stop list":     "shallotgap stop list",
+	"status": `shallotgap status
+shallotgap status --json`,
+	"explain": "shallotgap explain e1.18bd9de1ea6e4a3d.1",
+	"report": `shallotgap report
+shallotgap report --workspace dairy --json
+shallotgap report --html >report.html`,
+}
+
+// ExamplesOf returns the examples of a command, such as "table put", ready to print.
+func ExamplesOf(command string) string {
+	text, ok := examples[command]
+	if !ok {
+		return ""
+	}
+	return "\nExamples:\n" + indent(text)
+}
--- /dev/null
+++ b/io/texts/stops.go
@@ -0,0 +1,22 @@
+package texts
+
+import (
+	"time"
+
+	"shallotgap/core/drain"
+)
+
+// Phases name how far a stop has come, for operators.
+var Phases = map[drain.Phase]string{
+	drain.Planned:  "planned",
+	drain.Draining: "draining",
+	drain.Safe:     "safe to stop",
+}
+
+// StopStart tells when the drain of a stop starts; at is in Unix seconds, 0 for at once.
+func StopStart(at int64) string {
+	if at == 0 {
+		return "at once"
+	}
+	return time.Unix(at, 0).UTC().Format(time.RFC3339)
+}
