Measure service-level burn on every host and report it over all of them

Cause: nobody could read afterwards which promise was missed, for whom and why; nothing was measured at the edge. Conclusion: a report after a fault names its cause whichever hosts the callers used.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -30,7 +30,8 @@
 	// Pins counts the requests running on the adapter; a pinned one is never evicted.
 	Pins    int
 	LastUse ident.Time
-	// ResidentAt is when the load ended; 0 when the adapter was found resident.
+	// GrantedAt and ResidentAt are when the load began and ended; 0 when the adapter was found resident.
+	GrantedAt  ident.Time
 	ResidentAt ident.Time
 }
 
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -83,6 +83,8 @@
 	Peer string `json:"peer,omitempty"`
 	// RetryAfter tells the caller when to come back; 0 when coming back is of no use.
 	RetryAfter time.Duration `json:"retry-after,omitempty"`
+	// Waited tells how long the request waited at the owner of its endpoint, if it came that far.
+	Waited *Waited `json:"waited,omitempty"`
 	// Record is the stored claim when the key was used before.
 	Record *claim.Record `json:"record,omitempty"`
 }
--- a/core/world/dispatch.go
+++ b/core/world/dispatch.go
@@ -30,15 +30,20 @@
 }
 
 func (w *World) start(site *place.Site, it *place.Item) {
+	waited := site.Waited(it, w.now)
 	site.Start(it, w.now)
 	w.note(it.ID, "dispatch", "the adapter is resident and the batch has room", string(site.ID))
 	r := it.Request
 	r.Left = it.Deadline.Sub(w.now)
-	w.emit(Effect{Dispatch: &Dispatch{Request: r, From: it.From, Endpoint: site.Owned, Until: w.holder.Until()}})
+	w.emit(Effect{Dispatch: &Dispatch{Request: r, From: it.From, Endpoint: site.Owned, Until: w.holder.Until(), Waited: waited}})
 }
 
 // giveUp refuses a request that has not been dispatched, and releases its claim.
 func (w *World) giveUp(it *place.Item, r work.Refusal) {
+	if site := w.sites[it.Endpoint]; site != nil {
+		waited := site.Waited(it, w.now)
+		r.Waited = &waited
+	}
 	w.drop(it)
 	if it.Claimed {
 		w.closeClaim(it, claim.Released, nil)
--- a/core/world/event.go
+++ b/core/world/event.go
@@ -115,6 +115,8 @@
 	From     ident.HostID `json:"from"`
 	Endpoint lease.Owned  `json:"endpoint"`
 	Until    ident.Time   `json:"until"`
+	// Waited is how long the request waited for the dispatch; the first piece of the answer carries it.
+	Waited work.Waited `json:"waited"`
 }
 
 // Abort cancels a dispatched request; Ended follows.
--- a/core/world/loads.go
+++ b/core/world/loads.go
@@ -39,7 +39,7 @@
 	if evict != nil {
 		delete(site.Slots, *evict)
 	}
-	site.Slots[g.Model] = &place.Slot{Model: g.Model, Loading: true, LastUse: w.now}
+	site.Slots[g.Model] = &place.Slot{Model: g.Model, Loading: true, LastUse: w.now, GrantedAt: w.now}
 	w.emit(Effect{Load: &Load{Endpoint: site.Owned, Model: g.Model, Evict: evict, Until: w.holder.Until()}})
 }
 
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -36,6 +36,8 @@
 	mux.HandleFunc("GET /admin/hosts", s.hosts)
 	mux.HandleFunc("GET /admin/status", s.status)
 	mux.HandleFunc("GET /admin/explain/{id}", s.explain)
+	mux.HandleFunc("GET /admin/burn", s.burn)
+	mux.HandleFunc("GET /metrics", s.metrics)
 }
 
 // Table is the operators' table as of Index.
--- a/io/cmds/cmds.go
+++ b/io/cmds/cmds.go
@@ -27,6 +27,7 @@
 	Stop    Stop    `cmd:"" help:"Plan, withdraw and list planned stops."`
 	Status  Status  `cmd:"" help:"Show hosts, leader, leases, endpoints, residency, loads waited for and stops."`
 	Explain Explain `cmd:"" help:"Tell what happened to a request and why."`
+	Report  Report  `cmd:"" help:"Show the service-level burn: budgets, burn rates and what spent them."`
 	Version Print   `cmd:"" help:"Print the version."`
 }
 
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -8,8 +8,10 @@
 	"strings"
 	"time"
 
+	"github.com/apex/log"
 	"gopkg.in/ini.v1"
 
+	"shallotgap/core/burn"
 	"shallotgap/core/ident"
 	"shallotgap/core/world"
 )
@@ -26,6 +28,8 @@
 	Params world.Params
 	// EntryLife is how long callers may keep an answer to GET /v1/entries.
 	EntryLife time.Duration
+	// Objectives are the service levels that the burn report measures against.
+	Objectives burn.Targets
 }
 
 // Host is an entry host as all settings name it.
@@ -71,7 +75,7 @@
 
 // Defaults returns the settings that hold where a file names none.
 func Defaults() Settings {
-	return Settings{LogLevel: "info", Params: world.Defaults(), EntryLife: 5 * time.Second}
+	return Settings{LogLevel: "info", Params: world.Defaults(), EntryLife: 5 * time.Second, Objectives: burn.Defaults()}
 }
 
 // known are the keys of each section; "host.*" stands for every section of one entry host.
@@ -80,6 +84,8 @@
 	"host.*":  {"domain", "listen", "peer", "disk"},
 	"callers": {"entry-life"},
 	"store":   {"loads-per-second", "loads-in-flight"},
+	// The keys of [objectives] follow from the objectives of package burn.
+	"objectives": objectiveKeys(),
 }
 
 // Load reads and checks a settings file.
@@ -114,9 +120,13 @@
 	s.Name = ident.HostID(self.Key("name").String())
 	s.DataFolder = self.Key("data-folder").String()
 	s.LogLevel = self.Key("log-level").MustString(s.LogLevel)
+	if _, err := log.ParseLevel(s.LogLevel); err != nil {
+		r.fail("self", "log-level", "want debug, info, warn, error or fatal")
+	}
 	s.EntryLife = r.duration("callers", "entry-life", s.EntryLife)
 	s.Params.StoreRate = r.float("store", "loads-per-second", s.Params.StoreRate)
 	s.Params.StoreInFlight = r.int("store", "loads-in-flight", s.Params.StoreInFlight)
+	s.Objectives = r.objectives(s.Objectives)
 	s.Hosts = r.hosts()
 	s.Domain = s.Self().Domain
 	r.checkHosts(s)
@@ -203,18 +213,18 @@
 	used := map[string]ident.HostID{}
 	disks := 0
 	for _, h := range s.Hosts {
-		for _, a := range []string{h.Listen, h.Peer} {
-			if other, clash := used[a]; clash {
-				r.fail("host."+string(h.Name), "listen", fmt.Sprintf("%s is also used by host %s", a, other))
+		for _, a := range []struct{ key, address string }{{"listen", h.Listen}, {"peer", h.Peer}} {
+			if other, clash := used[a.address]; clash {
+				r.fail("host."+string(h.Name), a.key, fmt.Sprintf("%s is also used by host %s", a.address, other))
 			}
-			used[a] = h.Name
+			used[a.address] = h.Name
 		}
 		if h.Disk {
 			disks++
 		}
 	}
 	if disks < 3 && disks != 1 {
-		r.fail("self", "disk", fmt.Sprintf("%d hosts have disk = true; want 1, or 3 and more", disks))
+		r.fail("host.*", "disk", fmt.Sprintf("%d hosts have disk = true; want 1, or 3 and more", disks))
 	}
 }
 
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -233,6 +233,9 @@
 func (p *passer) send(c relay.Chunk) {
 	c.ID = p.dispatch.Request.ID
 	c.Seq = p.seq
+	if p.seq == 0 {
+		c.Waited = &p.dispatch.Waited
+	}
 	if p.seq > 0 {
 		c.Status, c.ContentType = 0, ""
 	}
--- a/io/entry/complete.go
+++ b/io/entry/complete.go
@@ -143,18 +143,20 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, req work.Request, call relay.Call) {
 	w.Header().Set(RequestHeader, req.ID.String())
 	x := s.host.Submit(req, call)
-	answered := s.answer(w, r, x)
+	answered := s.answer(w, r, x, newWatch(s.host.Meter, req, call))
 	s.host.Finish(x, answered)
 }
 
 // answer writes chunks as they come and reports whether the exchange is over.
-func (s *Server) answer(w http.ResponseWriter, r *http.Request, x *relay.Exchange) bool {
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, x *relay.Exchange, level *watch) bool {
 	started := false
 	for {
 		select {
 		case <-r.Context().Done():
+			level.gone()
 			return false
 		case c := <-x.Chunks:
+			level.chunk(c)
 			if c.Refusal != nil {
 				refuse(w, *c.Refusal, started)
 				return true
--- a/io/host/effect.go
+++ b/io/host/effect.go
@@ -31,6 +31,7 @@
 	case e.Load != nil:
 		go func() {
 			done := h.client.Load(ctx, *e.Load)
+			h.countLoad(done)
 			h.post(world.Event{Loaded: &done})
 		}()
 	case e.Inspect != nil:
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -17,6 +17,7 @@
 	"shallotgap/io/disk"
 	"shallotgap/io/engine"
 	"shallotgap/io/logs"
+	"shallotgap/io/metric"
 	"shallotgap/io/peer"
 	"shallotgap/io/relay"
 )
@@ -43,6 +44,7 @@
 	logs.Common
 	Config
 	Relay       *relay.Table
+	Meter       *metric.Meter
 	Incarnation ident.Incarnation
 
 	world   *world.World
@@ -66,6 +68,7 @@
 		Common:      common,
 		Config:      c,
 		Relay:       relay.New(),
+		Meter:       metric.New(c.Settings.Objectives),
 		Incarnation: ident.Incarnation(time.Now().UnixNano()),
 		client:      engine.New(common),
 		inbox:       make(chan func(*world.World) *world.Event, inboxLength),
@@ -170,9 +173,11 @@
 		case <-ctx.Done():
 			return nil
 		case w := <-h.writes:
+			begun := time.Now()
 			if err := h.store.Write(w); err != nil {
 				return fmt.Errorf("disk failed, the host stops: %w", err)
 			}
+			h.Meter.Time("shallotgap_disk_write_seconds", time.Since(begun))
 			for _, out := range w.Then {
 				h.network.SendControl(out.To, out.Message)
 			}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -3,6 +3,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"shallotgap/core/ident"
 	"shallotgap/core/work"
@@ -32,6 +33,10 @@
 	ContentType string          `json:"content-type,omitempty"`
 	Data        []byte          `json:"data,omitempty"`
 	End         bool            `json:"end,omitempty"`
+	// Waited is set in the first chunk of an answer.
+	Waited *work.Waited `json:"waited,omitempty"`
+	// Received is when the chunk reached the caller's host; it is not sent.
+	Received time.Time `json:"-"`
 	// Refusal ends a request that has no answer, or whose answer broke off.
 	Refusal *work.Refusal `json:"refusal,omitempty"`
 }
@@ -134,6 +139,7 @@
 	if c.Refusal == nil && c.Seq != x.next {
 		c = broken(c.ID, "sequence")
 	}
+	c.Received = time.Now()
 	x.next++
 	if len(x.Chunks) >= window-1 && !c.End && c.Refusal == nil {
 		c = broken(c.ID, "slow-caller")
