--- a/io/cmds/report.go
+++ b/io/cmds/report.go
@@ -52,7 +52,7 @@
 		book.Merge(a.Answer.Series)
 	}
 	if book != nil {
-		r.Period = book.Period()
+		r.Period, r.Width = book.Period(), book.Width()
 		r.Lines = book.Report(r.At.Unix())
 	}
 	return r
--- a/io/plot/plot.go
+++ b/io/plot/plot.go
@@ -7,7 +7,6 @@
 	"html/template"
 	"io"
 	"math"
-	"strings"
 	"time"
 
 	"shallotgap/core/burn"
@@ -24,6 +23,7 @@
 	"span":    texts.Span,
 	"utc":     func(t time.Time) string { return t.UTC().Format("2006-01-02 15:04:05 UTC") },
 	"colour":  colour,
+	"cause":   texts.BurnCause,
 	"width":   func(x float64) float64 { return 100 * min(1, x) },
 }).ParseFS(files, "report.html"))
 
@@ -31,7 +31,9 @@
 type Report struct {
 	At     time.Time
 	Period time.Duration
-	Lines  []burn.Line
+	// Width is the width of a time slot in seconds.
+	Width int64
+	Lines []burn.Line
 	// Silent are the hosts that gave no answer; their part is missing.
 	Silent []ident.HostID
 }
@@ -46,7 +48,7 @@
 func Write(w io.Writer, r Report) error {
 	var panels []panel
 	for _, l := range r.Lines {
-		panels = append(panels, panel{Line: l, Plot: newPlot(l.Points, r.At, r.Period)})
+		panels = append(panels, panel{Line: l, Plot: newPlot(l.Points, r.At, r.Period, r.Width)})
 	}
 	return page.Execute(w, struct {
 		Report
@@ -56,48 +58,60 @@
 
 // Size of a plot in SVG units.
 const (
-	plotWidth  = 640
-	plotHeight = 120
-	left       = 44
-	bottom     = 100
-	top        = 10
+	plotWidth = 640
+	left      = 44
+	right     = 8
+	bottom    = 100
+	top       = 10
 )
 
-// Plot is the curve of the burn rate over time.
+// Plot shows the burn rate over time, a bar for each time slot with events.
 type Plot struct {
-	Points string // of an SVG polyline
+	Bars []Bar
 	// LimitY is the height of burn rate 1; Top is the rate at the upper edge.
-	LimitY     float64
-	Top        float64
+	LimitY float64
+	Top    float64
+	// ShowLimit is false where the text of burn rate 1 would cover that of 0.
+	ShowLimit  bool
 	Start, End string // texts of the time axis
 	Empty      bool
 }
 
+// Bar is the burn rate of one time slot, in SVG units.
+type Bar struct {
+	X, Y, Width, Height float64
+	Title               string
+	Class               string
+}
+
 // shortestSpan is the least time that a plot covers.
 const shortestSpan = 5 * time.Minute
 
+// leastBar is the least width and height of a bar, so that a slot without misses can be seen.
+const leastBar = 2
+
 // newPlot scales the points to the time from the first one (at most one period ago) to at.
-func newPlot(points []burn.Point, at time.Time, period time.Duration) Plot {
+func newPlot(points []burn.Point, at time.Time, period time.Duration, width int64) Plot {
 	if len(points) == 0 {
 		return Plot{Empty: true}
 	}
-	end := at.Unix()
-	start := max(points[0].Start, end-int64(period/time.Second))
+	end := points[len(points)-1].Start + width
+	start := max(points[0].Start, at.Unix()-int64(period/time.Second))
 	start = min(start, end-int64(shortestSpan/time.Second))
 	p := Plot{Top: 2, Start: clock(start), End: clock(end)}
 	for _, x := range points {
 		p.Top = max(p.Top, math.Ceil(x.Rate))
 	}
-	y := func(rate float64) float64 { return bottom - rate/p.Top*(bottom-top) }
-	p.LimitY = y(1)
-	var b strings.Builder
+	p.LimitY = bottom - (bottom-top)/p.Top
+	p.ShowLimit = p.LimitY < bottom-12
+	unit := float64(plotWidth-left-right) / float64(end-start)
 	for _, x := range points {
-		if x.Start >= start {
-			share := float64(x.Start-start) / float64(end-start)
-			fmt.Fprintf(&b, "%.1f,%.1f ", left+share*(plotWidth-left-8), y(x.Rate))
-		}
+		height := max(leastBar, x.Rate/p.Top*(bottom-top))
+		p.Bars = append(p.Bars, Bar{
+			X: left + float64(x.Start-start)*unit, Y: bottom - height, Width: max(leastBar, float64(width)*unit-1), Height: height,
+			Title: fmt.Sprintf("%s: burn rate %.2f", clock(x.Start), x.Rate), Class: colour(x.Rate),
+		})
 	}
-	p.Points = b.String()
 	return p
 }
 
