Serve the table, hosts and burn report as web pages; mend high quantiles

Cause: operators had no page. And, seen on the report page: "1 of 2 events missed 250 ms, 95th percentile 1 ms", since the rank of a quantile was rounded down. Ruled out: a form around each table row (HTML does not allow it), so inputs name their form; a token of its own against cross-site posts, since net/http.CrossOriginProtection refuses them by Sec-Fetch-Site and Origin without state. Change: /admin/ (rows edited in place, conflict with both versions, hosts and endpoints with planned stops and "safe to stop") and /admin/report (burn of all hosts), html/template without scripts, a content security policy, an edit id in each form so that a resent form is carried out once, all posts of operators guarded and bounded. Figures: TestQuantile/two,_high_q before: "assertion failed: 1ms != 1s"; after: passes. Cross-site posts: 403 (two ways). Conclusion: TestOperatorsPageEditsRows covers stale, resent, bad and cross-site forms.

--- a/core/burn/burn_test.go
+++ b/core/burn/burn_test.go
@@ -95,6 +95,7 @@
 		"empty":          {q: 0.5, want: 0},
 		"one":            {values: []time.Duration{3 * time.Millisecond}, q: 0.99, want: 5 * time.Millisecond},
 		"on a limit":     {values: []time.Duration{5 * time.Millisecond}, q: 0.5, want: 5 * time.Millisecond},
+		"two, high q":    {values: []time.Duration{1, time.Second}, q: 0.95, want: time.Second},
 		"beyond all":     {values: []time.Duration{time.Hour}, q: 0.5, want: 160 * time.Second},
 		"median of many": {values: []time.Duration{1, 1, 1, time.Second, time.Second}, q: 0.5, want: time.Millisecond},
 	}
--- a/core/burn/histo.go
+++ b/core/burn/histo.go
@@ -3,6 +3,7 @@
 package burn
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -68,7 +69,7 @@
 	if total == 0 {
 		return 0
 	}
-	rank := uint64(q*float64(total-1)) + 1
+	rank := max(1, uint64(math.Ceil(q*float64(total))))
 	var seen uint64
 	for i, c := range h.Counts {
 		seen += c
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -21,23 +21,36 @@
 type Server struct {
 	logs.Common
 	host *host.Host
+	// crossOrigin refuses browsers' requests that another site's page caused.
+	crossOrigin *http.CrossOriginProtection
 }
 
 // New returns a server in front of h.
-func New(common logs.Common, h *host.Host) *Server { return &Server{Common: common, host: h} }
+func New(common logs.Common, h *host.Host) *Server {
+	return &Server{Common: common, host: h, crossOrigin: http.NewCrossOriginProtection()}
+}
 
 // Register adds the server's paths to mux.
 func (s *Server) Register(mux *http.ServeMux) {
 	mux.HandleFunc("GET /admin/table", s.table)
-	mux.HandleFunc("POST /admin/table", s.edit)
+	mux.Handle("POST /admin/table", s.form(s.edit))
 	mux.HandleFunc("GET /admin/history", s.history)
 	mux.HandleFunc("GET /admin/stops", s.stops)
-	mux.HandleFunc("POST /admin/stops", s.mark)
+	mux.Handle("POST /admin/stops", s.form(s.mark))
 	mux.HandleFunc("GET /admin/hosts", s.hosts)
 	mux.HandleFunc("GET /admin/status", s.status)
 	mux.HandleFunc("GET /admin/explain/{id}", s.explain)
 	mux.HandleFunc("GET /admin/burn", s.burn)
 	mux.HandleFunc("GET /metrics", s.metrics)
+	mux.HandleFunc("GET /admin/{$}", s.page)
+	mux.HandleFunc("GET /admin/report", s.report)
+	mux.Handle("POST /admin/rows", s.form(s.saveRow))
+	mux.Handle("POST /admin/marks", s.form(s.saveStop))
+}
+
+// form guards a handler that changes something against posts from other sites and against large bodies.
+func (s *Server) form(h http.HandlerFunc) http.Handler {
+	return s.crossOrigin.Handler(http.MaxBytesHandler(h, maxEdit))
 }
 
 // Table is the operators' table as of Index.
--- /dev/null
+++ b/io/admin/peers.go
@@ -0,0 +1,55 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"shallotgap/io/conf"
+)
+
+// peerTimeout bounds the question to one other host for a page.
+const peerTimeout = time.Second
+
+// answered is what one host answered; Known is false if it did not.
+type answered[T any] struct {
+	conf.Host
+	Answer T
+	Known  bool
+}
+
+// askHosts asks all hosts for path side by side, with the credentials of the operator's own request.
+func askHosts[T any](r *http.Request, hosts []conf.Host, path string) []answered[T] {
+	ctx, cancel := context.WithTimeout(r.Context(), peerTimeout)
+	defer cancel()
+	list := make([]answered[T], len(hosts))
+	var group errgroup.Group
+	for i, h := range hosts {
+		list[i].Host = h
+		group.Go(func() error {
+			list[i].Known = ask(ctx, r, "http://"+h.Listen+path, &list[i].Answer) == nil
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return list
+}
+
+func ask(ctx context.Context, r *http.Request, url string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	if value := r.Header.Get("Authorization"); value != "" {
+		req.Header.Set("Authorization", value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return json.NewDecoder(resp.Body).Decode(out)
+}
--- a/io/plot/plot.go
+++ b/io/plot/plot.go
@@ -84,8 +84,8 @@
 	Class               string
 }
 
-// shortestSpan is the least time that a plot covers.
-const shortestSpan = 5 * time.Minute
+// fewestSlots is the least number of time slots that a plot covers.
+const fewestSlots = 15
 
 // leastBar is the least width and height of a bar, so that a slot without misses can be seen.
 const leastBar = 2
@@ -97,7 +97,7 @@
 	}
 	end := points[len(points)-1].Start + width
 	start := max(points[0].Start, at.Unix()-int64(period/time.Second))
-	start = min(start, end-int64(shortestSpan/time.Second))
+	start = min(start, end-fewestSlots*width)
 	p := Plot{Top: 2, Start: clock(start), End: clock(end)}
 	for _, x := range points {
 		p.Top = max(p.Top, math.Ceil(x.Rate))
--- /dev/null
+++ b/scene/operators_page_test.go
@@ -0,0 +1,70 @@
+package scene
+
+import (
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"shallotgap/io/cmds"
+)
+
+// form posts a web form as a browser does, and does not follow the redirect.
+func form(target string, headers map[string]string, fields url.Values) answer {
+	req, err := http.NewRequest(http.MethodPost, target, strings.NewReader(fields.Encode()))
+	if err != nil {
+		return answer{Err: err}
+	}
+	req.Header.Set("Content-Type", "application/x-www-form-urlencoded")
+	for name, value := range headers {
+		req.Header.Set(name, value)
+	}
+	return sendOnce(req)
+}
+
+// The web page edits rows in place: a stale form shows both versions, a bad one its reason, and posts that another
+// site caused are refused.
+func TestOperatorsPageEditsRows(t *testing.T) {
+	f := newFleet(t, 1)
+	out, code := command(f.Hosts[0], "table", "put", "dairy", "udder@v1", "--wait")
+	assert.Equal(t, code, cmds.OK, out)
+	from := text(rowOf(t, f.Hosts[0], "dairy", "udder").RowVersion)
+	h := f.Hosts[4]
+	cases := []struct {
+		name    string
+		headers map[string]string
+		change  map[string]string
+		status  int
+		want    string
+	}{
+		{"cross site by fetch metadata", map[string]string{"Sec-Fetch-Site": "cross-site"}, nil, http.StatusForbidden, "cross-origin"},
+		{"cross site by origin", map[string]string{"Origin": "http://other.test"}, nil, http.StatusForbidden, "cross-origin"},
+		{"no number", nil, map[string]string{"weight": "many"}, http.StatusBadRequest, "not a whole number"},
+		{"weight 0", nil, map[string]string{"weight": "0", "edit-id": "f0"}, http.StatusBadRequest, "outside 1 to"},
+		{"good", nil, nil, http.StatusSeeOther, ""},
+		{"sent again", nil, nil, http.StatusSeeOther, ""},
+		{"stale", nil, map[string]string{"edit-id": "f2", "version": "v3"}, http.StatusConflict, "differs\">v2"},
+		{"markup in a name", nil, map[string]string{"edit-id": "f3", "adapter": "<b>x"}, http.StatusConflict, "&lt;b&gt;x"},
+	}
+	for _, c := range cases {
+		fields := url.Values{
+			"workspace": {"dairy"}, "adapter": {"udder"}, "version": {"v2"}, "previous": {"v1"}, "weight": {"2"},
+			"max-running": {"0"}, "max-rate": {"0"}, "from": {from}, "edit-id": {"f1"}, "action": {"save"},
+		}
+		for name, value := range c.change {
+			fields.Set(name, value)
+		}
+		a := form(h.URL()+"/admin/rows", c.headers, fields)
+		assert.NilError(t, a.Err, c.name)
+		assert.Equal(t, a.Status, c.status, "%s: %s", c.name, a.Body)
+		assert.Assert(t, strings.Contains(a.Body, c.want), "%s: %s", c.name, a.Body)
+	}
+	assert.Equal(t, string(rowOf(t, h, "dairy", "udder").Version), "v2")
+	marked := form(h.URL()+"/admin/marks", nil, url.Values{"target": {"host"}, "name": {"e6"}, "edit-id": {"s1"}, "action": {"mark"}})
+	assert.Equal(t, marked.Status, http.StatusSeeOther, marked.Body)
+	safe := func() bool { return strings.Contains(fetch(h.URL()+"/admin/"), "safe to stop") }
+	assert.Assert(t, awaitServed(safe), "host e6 does not become safe to stop")
+	assert.Assert(t, strings.Contains(fetch(h.URL()+"/admin/report"), "Service-level burn"))
+}
