--- a/core/place/place.go
+++ b/core/place/place.go
@@ -30,6 +30,9 @@
 	// Pins counts the requests running on the adapter; a pinned one is never evicted.
 	Pins    int
 	LastUse ident.Time
+	// GrantedAt and ResidentAt are when the load began and ended; 0 when the adapter was found resident.
+	GrantedAt  ident.Time
+	ResidentAt ident.Time
 }
 
 // Site is an owned endpoint with what its owner knows of it.
