Measure the serving decisions by replay in virtual time

Cause: routing, loads and eviction had no judge: nothing told whether a change to a policy helps either deployment. Ruled out: a simulation of the decisions beside the real code (it would measure itself); wall-clock runs of whole processes (slow, and not the same twice). Change: fakes/replay runs the decision cores of all seven hosts on one virtual clock against stand-ins of engines and store with fixed timings, beside a baseline (least-loaded routing with exact loads, LRU, loads in order of arrival) and a bound that knows the future (one engine with all slots, loads and slot time as sums, free prefetch). A request that is given up counts with its whole time to the deadline, so refusing does not help the figures.

--- a/fakes/main.go
+++ b/fakes/main.go
@@ -22,6 +22,8 @@
 	Engine engine `cmd:"" help:"Run a model engine."`
 	Plain  plain  `cmd:"" help:"Run a plain service."`
 	Store  store  `cmd:"" help:"Run the weight store."`
+	// Replay measures the serving decisions on a recorded trace.
+	Replay replayer `cmd:"" help:"Replay a trace through the decision core in virtual time and print what it measures."`
 }
 
 func main() {
