Index waiting requests by adapter, and unpin only the slot that was pinned

Cause: every event scanned every queue of every site; and an engine that restarts and reloads an adapter got a new slot whose pins the requests cut by the restart then took off: an adapter could be evicted under a running request. Ruled out: a heap of all waiting requests (most of them cannot run until their adapter is there). Change: a site keeps the waiting requests of each adapter in their order; the next to run is the best head among its few slots. An item remembers the slot that it pinned.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -9,20 +9,6 @@
 	"shallotgap/core/work"
 )
 
-// Item is a request at its owner.
-type Item struct {
-	work.Request
-	// From is the entry host that the caller is connected to.
-	From     ident.HostID
-	Endpoint ident.EndpointID
-	Arrived  ident.Time
-	Deadline ident.Time
-	// Claimed is set once the claim of an unrepeatable request is committed.
-	Claimed  bool
-	Claiming bool
-	Running  bool
-}
-
 // Slot is an adapter on an engine.
 type Slot struct {
 	Model   ident.Model
@@ -37,16 +23,20 @@
 	lease.Owned
 	Slots   map[ident.Model]*Slot
 	Running int
-	Queue   []*Item
+	// Queue holds the waiting requests in order of arrival.
+	Queue []*Item
 	// Heard is when the endpoint last announced itself.
 	Heard ident.Time
 	// FrozenUntil bars evictions after a take-over, while requests of the former owner may run.
 	FrozenUntil ident.Time
+
+	groups map[ident.Model][]*Item // the waiting requests of each adapter, in the order in which they go
+	seq    uint64
 }
 
 // NewSite returns a site taken over at now.
 func NewSite(o lease.Owned, now, frozenUntil ident.Time) *Site {
-	return &Site{Owned: o, Slots: map[ident.Model]*Slot{}, Heard: now, FrozenUntil: frozenUntil}
+	return &Site{Owned: o, Slots: map[ident.Model]*Slot{}, Heard: now, FrozenUntil: frozenUntil, groups: map[ident.Model][]*Item{}}
 }
 
 // Report is what an owner tells the other hosts about a site.
@@ -74,106 +64,95 @@
 	return r
 }
 
-func compareModels(x, y ident.Model) int {
-	if x.Adapter != y.Adapter {
-		if x.Adapter < y.Adapter {
-			return -1
-		}
-		return 1
-	}
-	if x.Version < y.Version {
-		return -1
-	}
-	if x.Version > y.Version {
-		return 1
-	}
-	return 0
-}
-
-// Add queues a request: the more urgent first, then in order of arrival.
+// Add queues a request.
 func (s *Site) Add(it *Item) {
-	at := len(s.Queue)
-	for at > 0 && s.Queue[at-1].Urgency < it.Urgency {
-		at--
-	}
-	s.Queue = slices.Insert(s.Queue, at, it)
+	s.seq++
+	it.seq = s.seq
+	s.Queue = append(s.Queue, it)
+	group := s.groups[it.Model]
+	at, _ := slices.BinarySearchFunc(group, it, compareItems)
+	s.groups[it.Model] = slices.Insert(group, at, it)
 }
 
 // Remove takes a request out of the queue.
 func (s *Site) Remove(id ident.RequestID) {
-	s.Queue = slices.DeleteFunc(s.Queue, func(it *Item) bool { return it.ID == id })
+	i := slices.IndexFunc(s.Queue, func(it *Item) bool { return it.ID == id })
+	if i < 0 {
+		return
+	}
+	it := s.Queue[i]
+	s.Queue = slices.Delete(s.Queue, i, i+1)
+	group := slices.DeleteFunc(s.groups[it.Model], func(x *Item) bool { return x == it })
+	if len(group) == 0 {
+		delete(s.groups, it.Model)
+		return
+	}
+	s.groups[it.Model] = group
 }
 
-// Ready reports whether the request could be dispatched now: room in the batch and the adapter resident.
-func (s *Site) Ready(it *Item) bool {
+// Next returns the waiting request that goes first among those that could be dispatched now, or nil: there is room
+// in the batch, its adapter is resident, and may allows it.
+func (s *Site) Next(may func(*Item) bool) *Item {
 	if s.Running >= s.MaxRunning {
-		return false
+		return nil
 	}
 	if s.Kind == lease.Plain {
-		return true
+		return s.first(ident.Model{}, may)
+	}
+	var best *Item
+	for m, slot := range s.Slots {
+		if slot.Loading {
+			continue
+		}
+		if it := s.first(m, may); it != nil && (best == nil || it.before(best)) {
+			best = it
+		}
 	}
-	slot := s.Slots[it.Model]
-	return slot != nil && !slot.Loading
+	return best
+}
+
+// first returns the first dispatchable request of an adapter.
+func (s *Site) first(m ident.Model, may func(*Item) bool) *Item {
+	for _, it := range s.groups[m] {
+		if !it.Claiming && may(it) {
+			return it
+		}
+	}
+	return nil
 }
 
 // Start pins the adapter and counts the request as running.
 func (s *Site) Start(it *Item, now ident.Time) {
 	s.Remove(it.ID)
 	it.Running = true
+	it.Started = now
 	s.Running++
 	if slot := s.Slots[it.Model]; slot != nil {
+		it.slot = slot
 		slot.Pins++
 		slot.LastUse = now
 	}
 }
 
-// End undoes Start once nothing of the request runs at the endpoint any more.
+// End undoes Start once nothing of the request runs at the endpoint any more. The slot is the one that the request
+// pinned: a restarted engine may hold the same adapter in a new one.
 func (s *Site) End(it *Item, now ident.Time) {
 	it.Running = false
 	s.Running--
-	if slot := s.Slots[it.Model]; slot != nil {
-		slot.Pins--
-		slot.LastUse = now
+	if it.slot != nil {
+		it.slot.Pins--
+		it.slot.LastUse = now
+		it.slot = nil
 	}
 }
 
-// Wants returns the models that queued requests wait for and that are neither resident nor loading.
-func (s *Site) Wants() []ident.Model {
-	var list []ident.Model
-	if s.Kind != lease.Engine {
-		return nil
-	}
-	for _, it := range s.Queue {
-		if s.Slots[it.Model] == nil && !slices.Contains(list, it.Model) {
-			list = append(list, it.Model)
-		}
-	}
-	return list
-}
+// Restarted empties the slots of an engine that has started anew.
+func (s *Site) Restarted() { s.Slots = map[ident.Model]*Slot{} }
 
-// Room returns whether a load can start, and the adapter to evict for it, if any.
-func (s *Site) Room(now ident.Time) (evict *ident.Model, ok bool) {
-	if len(s.Slots) < s.Owned.Slots {
-		return nil, true
-	}
-	if now < s.FrozenUntil {
-		return nil, false
+// Urgency returns the highest urgency of the requests that wait for an adapter.
+func (s *Site) Urgency(m ident.Model) work.Urgency {
+	if group := s.groups[m]; len(group) > 0 {
+		return group[0].Urgency
 	}
-	var victim *Slot
-	for _, slot := range s.Slots {
-		if slot.Pins > 0 || slot.Loading || s.waitedFor(slot.Model) {
-			continue
-		}
-		if victim == nil || slot.LastUse < victim.LastUse {
-			victim = slot
-		}
-	}
-	if victim == nil {
-		return nil, false
-	}
-	return &victim.Model, true
-}
-
-func (s *Site) waitedFor(m ident.Model) bool {
-	return slices.ContainsFunc(s.Queue, func(it *Item) bool { return it.Model == m })
+	return work.Bulk
 }
--- a/core/world/dispatch.go
+++ b/core/world/dispatch.go
@@ -17,10 +17,7 @@
 }
 
 func (w *World) dispatchSite(site *place.Site) {
-	for _, it := range append([]*place.Item(nil), site.Queue...) {
-		if !site.Ready(it) || it.Claiming {
-			continue
-		}
+	for it := site.Next(w.may); it != nil; it = site.Next(w.may) {
 		if it.Once() && !it.Claimed {
 			w.openClaim(it)
 			continue
@@ -29,6 +26,9 @@
 	}
 }
 
+// may reports whether limits let a waiting request run now.
+func (w *World) may(*place.Item) bool { return true }
+
 func (w *World) start(site *place.Site, it *place.Item) {
 	site.Start(it, w.now)
 	w.note(it.ID, "dispatch", "the adapter is resident and the batch has room", string(site.ID))
--- a/core/world/loads.go
+++ b/core/world/loads.go
@@ -1,33 +1,14 @@
 package world
 
 import (
-	"slices"
-
 	"shallotgap/core/place"
 	"shallotgap/core/work"
 )
 
-func (w *World) wants(site *place.Site) []place.Want {
-	var list []place.Want
-	for _, m := range site.Wants() {
-		if _, ok := site.Room(w.now); !ok {
-			break
-		}
-		waiting := 0
-		for _, it := range site.Queue {
-			if it.Model == m {
-				waiting++
-			}
-		}
-		list = append(list, place.Want{Endpoint: site.ID, Model: m, Waiting: waiting})
-	}
-	return list
-}
-
 // granted starts a load that the leader allows, or gives the grant back.
 func (w *World) granted(g place.Grant) {
 	site := w.sites[g.Endpoint]
-	if site == nil || !w.Serving() || !slices.Contains(site.Wants(), g.Model) {
+	if site == nil || !w.Serving() || !site.Wanted(g.Model) {
 		w.returnGrant(g)
 		return
 	}
--- a/core/world/own.go
+++ b/core/world/own.go
@@ -2,7 +2,6 @@
 
 import (
 	"shallotgap/core/drain"
-	"shallotgap/core/ident"
 	"shallotgap/core/lease"
 	"shallotgap/core/place"
 	"shallotgap/core/state"
@@ -30,7 +29,7 @@
 			continue
 		}
 		if e.Instance != site.Instance {
-			site.Slots = map[ident.Model]*place.Slot{}
+			site.Restarted()
 		}
 		site.Endpoint = e.Endpoint
 	}
@@ -116,7 +115,7 @@
 	for _, id := range sortedKeys(w.sites) {
 		site := w.sites[id]
 		w.checkSilence(site)
-		wants = append(wants, w.wants(site)...)
+		wants = append(wants, site.Wants(w.now)...)
 		if site.Running == 0 && len(site.Queue) == 0 && w.state.Stops.Stopping(drain.Host, string(w.Self)) {
 			a := lease.Assign{Endpoint: id, From: site.Fence}
 			w.propose(state.Command{Assign: &a}, purpose{})
