--- a/core/world/dispatch.go
+++ b/core/world/dispatch.go
@@ -17,10 +17,7 @@
 }
 
 func (w *World) dispatchSite(site *place.Site) {
-	for _, it := range append([]*place.Item(nil), site.Queue...) {
-		if !site.Ready(it) || it.Claiming {
-			continue
-		}
+	for it := site.Next(w.may); it != nil; it = site.Next(w.may) {
 		if it.Once() && !it.Claimed {
 			w.openClaim(it)
 			continue
@@ -29,16 +26,24 @@
 	}
 }
 
+// may reports whether limits let a waiting request run now.
+func (w *World) may(*place.Item) bool { return true }
+
 func (w *World) start(site *place.Site, it *place.Item) {
+	waited := site.Waited(it, w.now)
 	site.Start(it, w.now)
 	w.note(it.ID, "dispatch", "the adapter is resident and the batch has room", string(site.ID))
 	r := it.Request
 	r.Left = it.Deadline.Sub(w.now)
-	w.emit(Effect{Dispatch: &Dispatch{Request: r, From: it.From, Endpoint: site.Owned, Until: w.holder.Until()}})
+	w.emit(Effect{Dispatch: &Dispatch{Request: r, From: it.From, Endpoint: site.Owned, Until: w.holder.Until(), Waited: waited}})
 }
 
 // giveUp refuses a request that has not been dispatched, and releases its claim.
 func (w *World) giveUp(it *place.Item, r work.Refusal) {
+	if site := w.sites[it.Endpoint]; site != nil {
+		waited := site.Waited(it, w.now)
+		r.Waited = &waited
+	}
 	w.drop(it)
 	if it.Claimed {
 		w.closeClaim(it, claim.Released, nil)
--- a/core/world/loads.go
+++ b/core/world/loads.go
@@ -1,33 +1,14 @@
 package world
 
 import (
-	"slices"
-
 	"shallotgap/core/place"
 	"shallotgap/core/work"
 )
 
-func (w *World) wants(site *place.Site) []place.Want {
-	var list []place.Want
-	for _, m := range site.Wants() {
-		if _, ok := site.Room(w.now); !ok {
-			break
-		}
-		waiting := 0
-		for _, it := range site.Queue {
-			if it.Model == m {
-				waiting++
-			}
-		}
-		list = append(list, place.Want{Endpoint: site.ID, Model: m, Waiting: waiting})
-	}
-	return list
-}
-
 // granted starts a load that the leader allows, or gives the grant back.
 func (w *World) granted(g place.Grant) {
 	site := w.sites[g.Endpoint]
-	if site == nil || !w.Serving() || !slices.Contains(site.Wants(), g.Model) {
+	if site == nil || !w.Serving() || !site.Wanted(g.Model) {
 		w.returnGrant(g)
 		return
 	}
@@ -39,7 +20,7 @@
 	if evict != nil {
 		delete(site.Slots, *evict)
 	}
-	site.Slots[g.Model] = &place.Slot{Model: g.Model, Loading: true, LastUse: w.now}
+	site.Slots[g.Model] = &place.Slot{Model: g.Model, Loading: true, LastUse: w.now, GrantedAt: w.now}
 	w.emit(Effect{Load: &Load{Endpoint: site.Owned, Model: g.Model, Evict: evict, Until: w.holder.Until()}})
 }
 
@@ -61,6 +42,7 @@
 	}
 	if l.Err == "" {
 		slot.Loading = false
+		slot.ResidentAt = w.now
 		return
 	}
 	delete(site.Slots, l.Model)
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -16,6 +16,7 @@
 	"shallotgap/io/disk"
 	"shallotgap/io/engine"
 	"shallotgap/io/logs"
+	"shallotgap/io/metric"
 	"shallotgap/io/peer"
 	"shallotgap/io/relay"
 )
@@ -44,6 +45,7 @@
 	logs.Common
 	Config
 	Relay       *relay.Table
+	Meter       *metric.Meter
 	Incarnation ident.Incarnation
 
 	world   *world.World
@@ -55,6 +57,8 @@
 	// ended is closed when the loop has ended and takes no more events.
 	ended chan struct{}
 
+	logged logged // only the loop touches it
+
 	mu      sync.Mutex
 	running map[ident.RequestID]context.CancelFunc
 	tickets map[world.Ticket]chan any
@@ -69,6 +73,7 @@
 		Common:      common,
 		Config:      c,
 		Relay:       relay.New(),
+		Meter:       metric.New(c.Settings.Objectives),
 		Incarnation: ident.Incarnation(time.Now().UnixNano()),
 		client:      engine.New(common),
 		inbox:       make(chan func(*world.World) *world.Event, inboxLength),
@@ -127,6 +132,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			h.logChanges()
 			event = &world.Event{}
 		case f := <-h.inbox:
 			event = f(h.world)
--- a/io/host/writes.go
+++ b/io/host/writes.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"shallotgap/core/world"
 )
@@ -66,9 +67,11 @@
 
 // writeBatch makes writes durable, sends what waited for them and tells the loop.
 func (h *Host) writeBatch(batch []world.Write) error {
+	begun := time.Now()
 	if err := h.store.Write(batch...); err != nil {
 		return err
 	}
+	h.Meter.Time("shallotgap_disk_write_seconds", time.Since(begun))
 	last := uint64(0)
 	for _, w := range batch {
 		for _, out := range w.Then {
@@ -81,3 +84,9 @@
 	}
 	return nil
 }
+
+func (q *writeQueue) len() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.list)
+}
