Answer repeated marks like the first time, repair lost voters, tell answers to earlier runs apart

Ruled out: a version in each mark (operators mark by name); random tickets (the run's start already tells runs apart).

--- a/core/rows/rows.go
+++ b/core/rows/rows.go
@@ -82,14 +82,13 @@
 // Table is the deterministic state machine of the operators' table.
 type Table struct {
 	rows    *table.Table[RowKey, Row]
-	results map[ident.EditID]Result
-	edits   []ident.EditID
+	results *table.Memory[ident.EditID, Result]
 	history []Change
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{rows: table.New[RowKey, Row](), results: map[ident.EditID]Result{}}
+	return &Table{rows: table.New[RowKey, Row](), results: table.NewMemory[ident.EditID, Result](MaxResults)}
 }
 
 // Get returns the row under k and whether there is one.
@@ -112,11 +111,11 @@
 
 // Apply runs the edit at log position i and returns its result.
 func (t *Table) Apply(i ident.Index, e Edit) Result {
-	if first, ok := t.results[e.ID]; ok {
+	if first, ok := t.results.Get(e.ID); ok {
 		return first
 	}
 	res := t.decide(i, e)
-	t.remember(e.ID, res)
+	t.results.Put(e.ID, res)
 	return res
 }
 
@@ -156,15 +155,6 @@
 	return res
 }
 
-func (t *Table) remember(id ident.EditID, res Result) {
-	t.results[id] = res
-	t.edits = append(t.edits, id)
-	if len(t.edits) > MaxResults {
-		delete(t.results, t.edits[0])
-		t.edits = t.edits[1:]
-	}
-}
-
 func appendBounded[T any](list []T, item T, limit int) []T {
 	list = append(list, item)
 	if len(list) > limit {
@@ -211,10 +201,8 @@
 	if !results {
 		return s
 	}
-	for _, id := range t.edits {
-		s.Edits = append(s.Edits, id)
-		s.Results = append(s.Results, t.results[id])
-	}
+	s.Edits = t.results.Keys()
+	s.Results = t.results.Values()
 	return s
 }
 
@@ -224,10 +212,7 @@
 	for _, r := range s.Rows {
 		t.rows.Put(KeyOf(r.Workspace, r.Adapter), r)
 	}
-	for i, id := range s.Edits {
-		t.results[id] = s.Results[i]
-		t.edits = append(t.edits, id)
-	}
+	t.results.Restore(s.Edits, s.Results)
 	t.history = s.History
 	return t
 }
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -7,6 +7,7 @@
 	"shallotgap/core/ident"
 	"shallotgap/core/lease"
 	"shallotgap/core/rows"
+	"shallotgap/core/table"
 )
 
 // Command is one log entry's content; exactly one field is set, besides Wall.
@@ -38,6 +39,8 @@
 	Claim *claim.Result `json:"claim,omitempty"`
 	// Err is set when the command could not be proposed; it did not happen.
 	Err string `json:"err,omitempty"`
+	// repeated is set when a resent mark got its first result again.
+	repeated bool
 }
 
 // State is the replicated state as of Applied.
@@ -47,17 +50,25 @@
 	Owners  *lease.Owners
 	Stops   *drain.Stops
 	Claims  *claim.Book
+	// marks holds the first results of marks, so that a resent one gets its first answer.
+	marks *table.Memory[ident.EditID, drain.Result]
 }
 
+// MaxMarks is the number of marks whose first result is kept.
+const MaxMarks = 10_000
+
 // Changed reports whether the command changed the state that other hosts follow: an edit counts only when it was
-// accepted here, not when a resent one got its first result again.
+// accepted here, and neither an edit nor a mark when a resent one got its first result again.
 func (r Result) Changed() bool {
+	if r.repeated {
+		return false
+	}
 	return r.Edit == nil || (r.Edit.Verdict == rows.Accepted && r.Edit.Index == r.Index)
 }
 
 // New returns the empty state before the first entry.
 func New() *State {
-	return &State{Rows: rows.New(), Owners: lease.NewOwners(), Stops: drain.NewStops(), Claims: claim.NewBook()}
+	return &State{Rows: rows.New(), Owners: lease.NewOwners(), Stops: drain.NewStops(), Claims: claim.NewBook(), marks: newMarks()}
 }
 
 // Apply runs the command of entry i. A lower index than the applied one changes nothing.
@@ -78,8 +89,7 @@
 	case c.Assign != nil:
 		s.Owners.Assign(i, *c.Assign)
 	case c.Mark != nil:
-		r := s.Stops.Mark(*c.Mark)
-		res.Mark = &r
+		s.mark(*c.Mark, &res)
 	case c.Progress != nil:
 		s.Stops.Advance(*c.Progress)
 	default:
@@ -88,6 +98,24 @@
 	return res
 }
 
+func newMarks() *table.Memory[ident.EditID, drain.Result] {
+	return table.NewMemory[ident.EditID, drain.Result](MaxMarks)
+}
+
+// mark answers a mark that was applied before like the first time.
+func (s *State) mark(m drain.Mark, res *Result) {
+	r, known := s.marks.Get(m.ID)
+	if known {
+		res.repeated = true
+	} else {
+		r = s.Stops.Mark(m)
+		if m.ID != "" {
+			s.marks.Put(m.ID, r)
+		}
+	}
+	res.Mark = &r
+}
+
 func (s *State) applyClaim(c Command, res *Result) {
 	switch {
 	case c.Open != nil:
@@ -124,24 +152,32 @@
 	Gone    []lease.Owned  `json:"gone,omitempty"`
 	Stops   []drain.Stop   `json:"stops"`
 	Claims  []claim.Record `json:"claims,omitempty"`
+	// Marks are the ids of the latest marks, MarkResults their first results.
+	Marks       []ident.EditID `json:"marks,omitempty"`
+	MarkResults []drain.Result `json:"mark-results,omitempty"`
 }
 
-// Snapshot returns a copy of the state; voters get all of it, other hosts neither claims nor the results of edits.
+// Snapshot returns a copy of the state; voters get all of it, other hosts neither claims nor first results.
 func (s *State) Snapshot(voter bool) Snapshot {
 	snap := Snapshot{Applied: s.Applied, Rows: s.Rows.Snapshot(voter), Owners: s.Owners.List(), Gone: s.Owners.ListGone(), Stops: s.Stops.List()}
 	if voter {
 		snap.Claims = s.Claims.List()
+		snap.Marks = s.marks.Keys()
+		snap.MarkResults = s.marks.Values()
 	}
 	return snap
 }
 
 // Restore returns the state that s was taken from.
 func Restore(s Snapshot) *State {
-	return &State{
+	out := &State{
 		Applied: s.Applied,
 		Rows:    rows.Restore(s.Rows),
 		Owners:  lease.RestoreOwners(s.Owners, s.Gone),
 		Stops:   drain.RestoreStops(s.Stops),
 		Claims:  claim.RestoreBook(s.Claims),
+		marks:   newMarks(),
 	}
+	out.marks.Restore(s.Marks, s.MarkResults)
+	return out
 }
--- a/core/world/overview.go
+++ b/core/world/overview.go
@@ -30,6 +30,8 @@
 	Applied     ident.Index `json:"applied"`
 	// LogLength is the number of entries since the last snapshot; 0 on a host without a log.
 	LogLength int `json:"log-length"`
+	// Members are the data folders that take part in replication as this host knows them; none on a host without a log.
+	Members quorum.Members `json:"members,omitempty"`
 	// Queued and Running count the requests at the endpoints that this host owns.
 	Queued    int            `json:"queued"`
 	Running   int            `json:"running"`
@@ -56,6 +58,7 @@
 	}
 	if w.node != nil {
 		o.LogLength = w.node.Length()
+		o.Members = w.Members()
 	}
 	for _, id := range sortedKeys(w.sites) {
 		site := w.sites[id]
--- a/core/world/seats.go
+++ b/core/world/seats.go
@@ -25,13 +25,24 @@
 	return domains
 }
 
+// seatsFor returns the number of voters: the wanted one, or by default the largest of 1, 3 and 5 that the disks allow.
+func seatsFor(wanted, disks int) int {
+	switch {
+	case wanted > 0:
+		return min(wanted, disks)
+	case disks >= 5:
+		return 5
+	case disks >= 3:
+		return 3
+	default:
+		return min(1, disks)
+	}
+}
+
 // founders returns the hosts that form the first voters: as many as there are seats, spread over the failure domains.
 func (w *World) founders() []ident.HostID {
 	disks := w.diskHosts()
-	seats := w.Params.Voters
-	if seats == 0 || seats > len(disks) {
-		return disks
-	}
+	seats := seatsFor(w.Params.Voters, len(disks))
 	domains := w.domains()
 	used := map[ident.DomainID]int{}
 	var list []ident.HostID
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -58,7 +58,8 @@
 	StoreInFlight  int     // loads at once
 	KeyLife        time.Duration
 	CompactAfter   int // log entries between snapshots
-	// Voters is the number of hosts that vote; further ones with a data folder stand by. 0 means all of them.
+	// Voters is the number of hosts that vote; further ones with a data folder stand by. 0 means the largest of 1, 3
+	// and 5 that the disks allow.
 	Voters int
 	// RepairAfter is how long a voter may be silent before a host that stands by takes its seat.
 	RepairAfter time.Duration
@@ -133,6 +134,8 @@
 		forwards: map[ident.RequestID]forwarded{},
 		reports:  map[ident.EndpointID]place.Report{},
 		sent:     map[ident.EndpointID]string{},
+		// Tickets of two runs never meet, so that a late answer to the earlier run matches nothing.
+		tickets: Ticket(c.Incarnation),
 	}
 	if c.Stored == nil {
 		return w, nil
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -84,6 +84,7 @@
 	"host.*":  {"domain", "listen", "peer", "disk"},
 	"callers": {"entry-life"},
 	"store":   {"loads-per-second", "loads-in-flight"},
+	"quorum":  {"voters", "repair-after"},
 	// The keys of [objectives] follow from the objectives of package burn.
 	"objectives": objectiveKeys(),
 }
@@ -125,6 +126,8 @@
 	}
 	s.EntryLife = r.duration("callers", "entry-life", s.EntryLife)
 	s.Params.StoreRate = r.float("store", "loads-per-second", s.Params.StoreRate)
+	s.Params.Voters = r.int("quorum", "voters", s.Params.Voters)
+	s.Params.RepairAfter = r.duration("quorum", "repair-after", s.Params.RepairAfter)
 	s.Params.StoreInFlight = r.int("store", "loads-in-flight", s.Params.StoreInFlight)
 	s.Objectives = r.objectives(s.Objectives)
 	s.Hosts = r.hosts()
@@ -223,6 +226,9 @@
 			disks++
 		}
 	}
+	if v := s.Params.Voters; v != 0 && ((v != 1 && v != 3 && v != 5) || v > disks) {
+		r.fail("quorum", "voters", fmt.Sprintf("%d: want 1, 3 or 5, and at least as many hosts with disk = true (%d)", v, disks))
+	}
 	if disks < 3 && disks != 1 {
 		r.fail("host.*", "disk", fmt.Sprintf("%d hosts have disk = true; want 1, or 3 and more", disks))
 	}
