Keep a claim's word true when its request was given up, late or forgotten

Cause: reading the thin claim code showed ways to a wrong or a missing state: a claim granted after its request was given up stayed "claimed" for ever; a request whose claim got no majority waited past its deadline; one whose endpoint moved away and back was in no queue and got no answer; a late copy of an Open claimed a released key again for nobody; a forgotten (expired) key ran again; a leader with a slow clock could let it; a holder's true "not sent" could not settle an in-doubt record; a forward that waited on a link that stood still ran although its time was over, since the time left is counted anew at each hop.

Ruled out: keeping tombstones of all keys (grows without bound); trusting the leaders' wall clocks (they may differ). A caller's absolute deadline as part of the request bounds the key without a tombstone.

Conclusion: "not-run" is said only by the one host that could still send.

--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -53,7 +53,10 @@
 	Digest  Digest          `json:"digest"`
 	Request ident.RequestID `json:"request"`
 	Holder  Holder          `json:"holder"`
-	// Expires is the wall-clock second (Unix) at which the key is forgotten.
+	// Ends is the wall-clock second (Unix) from which the request may not be claimed, and after which an open
+	// claim counts as in doubt; 0 for never.
+	Ends int64 `json:"ends,omitempty"`
+	// Expires is the wall-clock second (Unix) at which the key is forgotten. It is not before Ends.
 	Expires int64 `json:"expires"`
 }
 
@@ -83,8 +86,10 @@
 type Result struct {
 	Granted bool `json:"granted"`
 	// Mismatch is set when the key was used before for another request.
-	Mismatch bool    `json:"mismatch,omitempty"`
-	Record   *Record `json:"record,omitempty"`
+	Mismatch bool `json:"mismatch,omitempty"`
+	// Late is set when the request's time was over before it could be claimed.
+	Late   bool    `json:"late,omitempty"`
+	Record *Record `json:"record,omitempty"`
 }
 
 // Book is the deterministic state machine of claims.
@@ -93,6 +98,9 @@
 	// byHost holds the names of claims that are still open.
 	byHost map[ident.HostID]map[Name]struct{}
 	ends   expiries
+	// clock is the latest wall-clock second that a command carried. It never falls, whatever the leaders' clocks
+	// say: a record that was forgotten as expired cannot be claimed by a leader whose clock is behind.
+	clock int64
 }
 
 // NewBook returns an empty book.
@@ -112,7 +120,8 @@
 // Len returns the number of records.
 func (b *Book) Len() int { return len(b.records) }
 
-// Open grants the claim unless the key has been used; a released one may be claimed again.
+// Open grants the claim unless the key has been used; a released one may be claimed again by another request.
+// A resent Open of the request that released it finds the released record: nobody waits for its claim any more.
 func (b *Book) Open(o Open) Result {
 	if r, ok := b.records[o.Name]; ok {
 		if r.Digest != o.Digest {
@@ -121,25 +130,25 @@
 		if r.Request == o.Request && r.State == Claimed {
 			return Result{Granted: true}
 		}
-		if r.State != Released {
+		if r.State != Released || r.Request == o.Request {
 			found := *r
 			return Result{Record: &found}
 		}
 	}
+	if o.Ends != 0 && b.clock >= o.Ends {
+		return Result{Late: true}
+	}
 	b.put(&Record{Open: o, State: Claimed})
 	return Result{Granted: true}
 }
 
-// Close records an outcome; only the request that holds the claim can, and only once. An in-doubt claim
-// may still be settled by the endpoint's own word.
+// Close records an outcome; only the request that holds the claim can, and only once. An in-doubt claim may
+// still be settled by its holder: it alone knows that nothing was sent, or what the endpoint answered.
 func (b *Book) Close(c Close) bool {
 	r, ok := b.records[c.Name]
 	if !ok || r.Request != c.Request || (r.State != Claimed && r.State != InDoubt) {
 		return false
 	}
-	if r.State == InDoubt && c.State == Released {
-		return false
-	}
 	r.State = c.State
 	r.Answer = c.Answer
 	b.unlist(r)
@@ -187,6 +196,9 @@
 	if r.State != Claimed {
 		return
 	}
+	if r.Ends != 0 {
+		heap.Push(&b.ends, expiry{at: r.Ends, name: r.Name, request: r.Request})
+	}
 	names := b.byHost[r.Holder.Host]
 	if names == nil {
 		names = map[Name]struct{}{}
--- a/core/claim/expiry.go
+++ b/core/claim/expiry.go
@@ -40,20 +40,37 @@
 // openGrace is the time in seconds after which an open claim past its life is looked at again.
 const openGrace = 60
 
-// Expire forgets the records whose life ended before the wall-clock second now. Open claims are kept.
-// The cost grows with the records that it forgets, not with those that it keeps.
+// Clock returns the latest wall-clock second (Unix) that Expire was given.
+func (b *Book) Clock() int64 { return b.clock }
+
+// Expire forgets the records whose life ended before the wall-clock second now, and turns open claims past their
+// Ends into in-doubt ones. Other open claims are kept. The cost grows with the records that it changes.
 func (b *Book) Expire(now int64) {
+	b.clock = max(b.clock, now)
+	now = b.clock
 	for len(b.ends) > 0 && b.ends[0].at < now {
 		end := heap.Pop(&b.ends).(expiry)
 		r, ok := b.records[end.name]
 		if !ok || r.Request != end.request {
 			continue
 		}
-		if r.State == Claimed {
+		if r.State == Claimed && !b.overdue(r) {
 			end.at = now + openGrace
 			heap.Push(&b.ends, end)
 			continue
 		}
-		delete(b.records, end.name)
+		if r.Expires < now {
+			delete(b.records, end.name)
+		}
+	}
+}
+
+// overdue turns an open claim past its Ends into an in-doubt one.
+func (b *Book) overdue(r *Record) bool {
+	if r.Ends == 0 || r.Ends >= b.clock {
+		return false
 	}
+	r.State = InDoubt
+	b.unlist(r)
+	return true
 }
--- a/core/lease/owners.go
+++ b/core/lease/owners.go
@@ -36,6 +36,8 @@
 	Instance ident.Incarnation `json:"instance"`
 	// ChecksFence is true when the endpoint refuses orders with an old fencing number.
 	ChecksFence bool `json:"checks-fence,omitempty"`
+	// EchoesID is true when an engine puts the X-Request-Id of a request at the end of its answer's id.
+	EchoesID bool `json:"echoes-id,omitempty"`
 	// Leaving is true once the endpoint shuts down gracefully; it takes no new work.
 	Leaving bool `json:"leaving,omitempty"`
 }
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -22,6 +22,8 @@
 	Open     *claim.Open     `json:"open,omitempty"`
 	Close    *claim.Close    `json:"close,omitempty"`
 	Abandon  *claim.Abandon  `json:"abandon,omitempty"`
+	// Look reads a claim in the order of the log, so that no former leader can answer.
+	Look *claim.Name `json:"look,omitempty"`
 }
 
 // Depart forgets an endpoint instance.
@@ -31,7 +33,12 @@
 }
 
 // Public reports whether entry hosts without a data folder receive the command; claims stay with the voters.
-func (c Command) Public() bool { return c.Open == nil && c.Close == nil && c.Abandon == nil }
+func (c Command) Public() bool { return !c.Claims() }
+
+// Claims reports whether the command reads or changes claims only.
+func (c Command) Claims() bool {
+	return c.Open != nil || c.Close != nil || c.Abandon != nil || c.Look != nil
+}
 
 // Result is what applying a command gave.
 type Result struct {
@@ -92,15 +99,20 @@
 }
 
 func (s *State) applyClaim(c Command, res *Result) {
+	s.Claims.Expire(c.Wall)
 	switch {
 	case c.Open != nil:
-		s.Claims.Expire(c.Wall)
 		r := s.Claims.Open(*c.Open)
 		res.Claim = &r
 	case c.Close != nil:
 		s.Claims.Close(*c.Close)
 	case c.Abandon != nil:
 		s.Claims.Abandon(*c.Abandon)
+	case c.Look != nil:
+		res.Claim = &claim.Result{}
+		if r, ok := s.Claims.Get(*c.Look); ok {
+			res.Claim.Record = &r
+		}
 	}
 }
 
@@ -126,6 +138,8 @@
 	Owners  []lease.Owned  `json:"owners"`
 	Stops   []drain.Stop   `json:"stops"`
 	Claims  []claim.Record `json:"claims,omitempty"`
+	// Clock is the latest wall-clock second (Unix) by which claims expired.
+	Clock int64 `json:"clock,omitempty"`
 }
 
 // Snapshot returns a copy of the state; voters get all of it, other hosts neither claims nor the results of edits.
@@ -133,17 +147,20 @@
 	snap := Snapshot{Applied: s.Applied, Rows: s.Rows.Snapshot(voter), Owners: s.Owners.List(), Stops: s.Stops.List()}
 	if voter {
 		snap.Claims = s.Claims.List()
+		snap.Clock = s.Claims.Clock()
 	}
 	return snap
 }
 
 // Restore returns the state that s was taken from.
 func Restore(s Snapshot) *State {
+	claims := claim.RestoreBook(s.Claims)
+	claims.Expire(s.Clock)
 	return &State{
 		Applied: s.Applied,
 		Rows:    rows.Restore(s.Rows),
 		Owners:  lease.RestoreOwners(s.Owners),
 		Stops:   drain.RestoreStops(s.Stops),
-		Claims:  claim.RestoreBook(s.Claims),
+		Claims:  claims,
 	}
 }
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -30,8 +30,13 @@
 	Key    ident.Key    `json:"key,omitempty"`
 	Digest claim.Digest `json:"digest,omitempty"`
 	// Left is the time to the deadline when the request reached this host.
-	Left    time.Duration `json:"left"`
-	Urgency Urgency       `json:"urgency"`
+	Left time.Duration `json:"left"`
+	// Ends is the wall-clock second (Unix) from which no host starts the request any more. It covers the time that
+	// Left can't see: in the queue of a broken link, or of a process that stood still.
+	Ends int64 `json:"ends,omitempty"`
+	// KeyEnds is the caller's wall-clock second (Unix) from which the key may not be used; 0 where it gave none.
+	KeyEnds int64   `json:"key-ends,omitempty"`
+	Urgency Urgency `json:"urgency"`
 	// Prefix is a hash of the first part of the prompt, for routing by prefix cache; 0 for none.
 	Prefix uint64 `json:"prefix,omitempty"`
 	// Tokens is the largest number of tokens to generate; 0 when not stated.
@@ -67,10 +72,14 @@
 	LoadFailed     Reason = "load-failed"     // the adapter could not be loaded
 	KeyReused      Reason = "key-reused"      // the key belongs to another request
 	KeyRunning     Reason = "key-running"     // the request with this key has not ended
+	KeyInDoubt     Reason = "key-in-doubt"    // the request with this key may have run; the endpoint has to be asked
+	KeyExpired     Reason = "key-expired"     // the key's life is over
+	Canceled       Reason = "canceled"        // the caller has gone
 	NoQuorum       Reason = "no-quorum"       // the claim could not be committed in time
 	LinkLost       Reason = "link-lost"       // the link to the owner or the endpoint broke
 	EndpointFailed Reason = "endpoint-failed" // the endpoint gave no whole answer
 	WrongModel     Reason = "wrong-model"     // the endpoint answered for another adapter
+	WrongAnswer    Reason = "wrong-answer"    // the endpoint answered for another request
 	Stopping       Reason = "stopping"        // the host or endpoint is stopping
 )
 
--- a/core/world/control.go
+++ b/core/world/control.go
@@ -20,7 +20,7 @@
 // purpose tells what the answer to a proposal is for: an edge ticket, or a request's claim.
 type purpose struct {
 	ticket  Ticket
-	request *ident.RequestID
+	request bool
 }
 
 // pending is a proposal without an answer.
@@ -234,8 +234,8 @@
 		return
 	}
 	delete(w.pending, a.Ticket)
-	if p.purpose.request != nil {
-		w.claimed(*p.purpose.request, a.Result)
+	if p.purpose.request {
+		w.claimed(*p.command.Open, a.Result)
 		return
 	}
 	if p.purpose.ticket != 0 {
--- a/core/world/dispatch.go
+++ b/core/world/dispatch.go
@@ -41,7 +41,7 @@
 func (w *World) giveUp(it *place.Item, r work.Refusal) {
 	w.drop(it)
 	if it.Claimed {
-		w.closeClaim(it, claim.Released, nil)
+		w.closeClaim(openOf(it), claim.Released, nil)
 	}
 	w.refuse(it.ID, it.From, r)
 }
@@ -58,7 +58,7 @@
 	delete(w.items, e.ID)
 	w.note(e.ID, "answer", string(e.State)+" "+e.Detail, string(it.Endpoint))
 	if it.Once() {
-		w.closeClaim(it, claimState(e.State), e.Answer)
+		w.closeClaim(openOf(it), claimState(e.State), e.Answer)
 	}
 	if e.State == work.Answered {
 		return
--- a/core/world/once.go
+++ b/core/world/once.go
@@ -1,8 +1,9 @@
 package world
 
 import (
+	"time"
+
 	"shallotgap/core/claim"
-	"shallotgap/core/ident"
 	"shallotgap/core/place"
 	"shallotgap/core/state"
 	"shallotgap/core/work"
@@ -16,40 +17,82 @@
 		Digest:  it.Digest,
 		Request: it.ID,
 		Holder:  claim.Holder{Host: w.Self, Incarnation: w.Incarnation},
-		Expires: w.wall + int64(w.Params.KeyLife.Seconds()),
+		Ends:    claimEnds(it.Request),
+		Expires: max(it.KeyEnds, w.wall+int64(w.Params.KeyLife.Seconds())),
 	}
-	id := it.ID
-	w.propose(state.Command{Open: &o}, purpose{request: &id})
+	w.propose(state.Command{Open: &o}, purpose{request: true})
 }
 
-// claimed takes the answer to openClaim.
-func (w *World) claimed(id ident.RequestID, res state.Result) {
-	it := w.items[id]
-	if it == nil || res.Claim == nil {
+// endsGrace covers the difference between the wall clocks of two hosts, in seconds.
+const endsGrace = 5
+
+// endsOf returns the wall-clock second from which a request that has left to go may not start.
+func (w *World) endsOf(left time.Duration) int64 {
+	return w.wall + int64((left+time.Second-1)/time.Second) + endsGrace
+}
+
+// claimGrace is the time in seconds after which a claim whose request's time is over counts as in doubt.
+const claimGrace = 60
+
+// claimEnds returns the end of a request's claim, never beyond the key's own end.
+func claimEnds(r work.Request) int64 {
+	if r.KeyEnds != 0 {
+		return min(r.KeyEnds, r.Ends+claimGrace)
+	}
+	return r.Ends + claimGrace
+}
+
+// claimed takes the answer to openClaim. The claim of a request that was given up meanwhile is released: this host
+// is its only holder, and it sends nothing for it any more.
+func (w *World) claimed(o claim.Open, res state.Result) {
+	it := w.items[o.Request]
+	if res.Claim == nil {
+		return
+	}
+	if it == nil {
+		if res.Claim.Granted {
+			w.closeClaim(o, claim.Released, nil)
+		}
 		return
 	}
 	it.Claiming = false
 	if res.Claim.Granted {
 		it.Claimed = true
-		w.note(id, "claim", "committed by a majority", "")
-		if w.sites[it.Endpoint] == nil {
-			w.giveUp(it, work.Refusal{Outcome: work.NotRun, Reason: work.NotOwner, Step: "claim", Peer: string(it.Endpoint), RetryAfter: RetryLater})
-		}
+		w.note(o.Request, "claim", "committed by a majority", "")
 		return
 	}
 	w.drop(it)
-	r := work.Refusal{Outcome: work.NotRun, Reason: work.KeyReused, Step: "claim"}
-	if res.Claim.Record != nil {
-		r = work.Refusal{Outcome: work.InDoubt, Reason: work.KeyRunning, Step: "claim", Record: res.Claim.Record, RetryAfter: RetryLater}
+	w.refuse(o.Request, it.From, claimRefusal(*res.Claim))
+}
+
+// claimRefusal tells a caller why its request got no claim.
+func claimRefusal(res claim.Result) work.Refusal {
+	r := work.Refusal{Outcome: work.NotRun, Step: "claim", Record: res.Record}
+	switch {
+	case res.Late:
+		r.Reason = work.KeyExpired
+	case res.Mismatch:
+		r.Reason = work.KeyReused
+	case res.Record == nil || res.Record.State == claim.Released:
+		r.Reason, r.RetryAfter = work.Late, RetryLater
+	case res.Record.State == claim.InDoubt:
+		r.Outcome, r.Reason = work.InDoubt, work.KeyInDoubt
+	default:
+		r.Outcome, r.Reason, r.RetryAfter = work.InDoubt, work.KeyRunning, RetryLater
 	}
-	w.refuse(id, it.From, r)
+	return r
 }
 
-func (w *World) closeClaim(it *place.Item, s claim.State, a *claim.Answer) {
-	c := claim.Close{Name: it.Name(), Request: it.ID, State: s, Answer: a}
+// closeClaim records an outcome; the proposal is repeated until a leader answers it.
+func (w *World) closeClaim(o claim.Open, s claim.State, a *claim.Answer) {
+	c := claim.Close{Name: o.Name, Request: o.Request, State: s, Answer: a}
 	w.propose(state.Command{Close: &c}, purpose{})
 }
 
+func openOf(it *place.Item) claim.Open {
+	return claim.Open{Name: it.Name(), Request: it.ID}
+}
+
 func claimState(s work.EndState) claim.State {
 	switch s {
 	case work.Answered:
--- a/core/world/own.go
+++ b/core/world/own.go
@@ -55,9 +55,7 @@
 // loseSite refuses what waits; what runs goes on and ends by itself.
 func (w *World) loseSite(site *place.Site) {
 	for _, it := range append([]*place.Item(nil), site.Queue...) {
-		if !it.Claiming {
-			w.giveUp(it, work.Refusal{Outcome: work.NotRun, Reason: work.NotOwner, Step: "queue", Peer: string(site.ID), RetryAfter: RetryLater})
-		}
+		w.giveUp(it, work.Refusal{Outcome: work.NotRun, Reason: work.NotOwner, Step: "queue", Peer: string(site.ID), RetryAfter: RetryLater})
 	}
 	delete(w.sites, site.ID)
 }
--- a/core/world/serve.go
+++ b/core/world/serve.go
@@ -32,6 +32,7 @@
 		w.arriveFromEntry(a)
 		return
 	}
+	a.Request.Ends = w.endsOf(a.Request.Left)
 	if r := w.checkRow(a.Request); r != nil {
 		w.refuse(a.Request.ID, a.From, *r)
 		return
@@ -51,6 +52,10 @@
 }
 
 func (w *World) arriveFromEntry(a Arrive) {
+	if a.Request.Ends != 0 && w.wall >= a.Request.Ends {
+		w.refuse(a.Request.ID, a.From, work.Refusal{Outcome: work.NotRun, Reason: work.Late, Step: "forward", Peer: string(w.Self)})
+		return
+	}
 	if w.sites[a.Endpoint] == nil {
 		w.refuse(a.Request.ID, a.From, work.Refusal{Outcome: work.NotRun, Reason: work.NotOwner, Step: "forward", Peer: string(w.Self), RetryAfter: RetryLater})
 		return
@@ -137,19 +142,22 @@
 	w.emit(Effect{Refuse: &Refuse{ID: id, To: to, Refusal: r}})
 }
 
-// cancel ends a request whose caller has gone. A claimed unrepeatable request runs on, so that its outcome is recorded.
+// cancel ends a request whose caller has gone. An unrepeatable request that was dispatched runs on, so that its
+// outcome is recorded.
 func (w *World) cancel(id ident.RequestID) {
 	delete(w.forwards, id)
 	it := w.items[id]
-	if it == nil || it.Claiming || it.Claimed {
+	if it == nil {
+		return
+	}
+	if !it.Running {
+		w.giveUp(it, work.Refusal{Outcome: work.NotRun, Reason: work.Canceled, Step: "cancel"})
 		return
 	}
-	if it.Running {
+	if !it.Once() {
 		w.note(id, "cancel", "the caller has gone", string(it.Endpoint))
 		w.emit(Effect{Abort: &Abort{ID: id}})
-		return
 	}
-	w.drop(it)
 }
 
 // drop forgets a request that is not running.
@@ -164,10 +172,14 @@
 func (w *World) expire() {
 	for _, id := range sortedKeys(w.sites) {
 		for _, it := range append([]*place.Item(nil), w.sites[id].Queue...) {
-			if w.now < it.Deadline || it.Claiming {
+			if w.now < it.Deadline {
 				continue
 			}
-			w.giveUp(it, work.Refusal{Outcome: work.NotRun, Reason: work.Late, Step: "queue", Peer: string(it.Endpoint), RetryAfter: RetryLater})
+			reason := work.Late
+			if it.Claiming {
+				reason = work.NoQuorum
+			}
+			w.giveUp(it, work.Refusal{Outcome: work.NotRun, Reason: reason, Step: "queue", Peer: string(it.Endpoint), RetryAfter: RetryLater})
 		}
 	}
 }
