--- a/fakes/stand/announce.go
+++ b/fakes/stand/announce.go
@@ -22,6 +22,7 @@
 	MaxRunning  int    `json:"max-running"`
 	Instance    uint64 `json:"instance"`
 	ChecksFence bool   `json:"checks-fence,omitempty"`
+	EchoesID    bool   `json:"echoes-id,omitempty"`
 }
 
 // Announce tells the system of the endpoint until the context ends: first the given entry hosts in turn, then its owner.
--- a/fakes/stand/complete.go
+++ b/fakes/stand/complete.go
@@ -15,6 +15,8 @@
 	Model     string `json:"model"`
 	Stream    bool   `json:"stream"`
 	MaxTokens int    `json:"max_tokens"`
+	// id is the X-Request-Id that the answer echoes.
+	id string
 }
 
 // piece is an answer, or one event of a streamed answer.
@@ -46,6 +48,7 @@
 		http.Error(w, "adapter not loaded: "+c.Model, http.StatusNotFound)
 		return
 	}
+	c.id = e.answerID(r)
 	if e.take(func(f *Faults) *int { return &f.WrongModel }) {
 		c.Model = "wrong@v0"
 	}
@@ -76,8 +79,19 @@
 	return s
 }
 
+// answerID returns the id of an answer; a crossed one bears that of another request.
+func (e *Engine) answerID(r *http.Request) string {
+	if e.take(func(f *Faults) *int { return &f.Crossed }) {
+		return "cmpl-of-another-request"
+	}
+	if e.Mute {
+		return "cmpl-" + e.ID
+	}
+	return "cmpl-" + r.Header.Get("X-Request-Id")
+}
+
 func (e *Engine) piece(c completion, text string) piece {
-	return piece{ID: e.ID, Object: "text_completion", Model: c.Model, Choices: []choice{{Text: text}}}
+	return piece{ID: c.id, Object: "text_completion", Model: c.Model, Choices: []choice{{Text: text}}}
 }
 
 func (e *Engine) whole(w http.ResponseWriter, c completion, s *sequence) {
--- a/fakes/stand/fault.go
+++ b/fakes/stand/fault.go
@@ -13,6 +13,7 @@
 	WrongModel  int  `json:"wrong-model"`
 	ReadClose   int  `json:"read-close"`   // read the request, run it, close without an answer
 	DropClose   int  `json:"drop-close"`   // read the request, close without running it
+	Crossed     int  `json:"crossed"`      // name another request in the answer
 	Truncate    int  `json:"truncate"`     // break off in the middle of the answer
 	LateMS      int  `json:"late-ms"`      // added to every answer
 	Frozen      bool `json:"frozen"`       // answer nothing
--- a/io/engine/guard.go
+++ b/io/engine/guard.go
@@ -4,17 +4,47 @@
 	"context"
 	"errors"
 	"net"
-	"sync/atomic"
+	"sync"
 	"time"
 )
 
 // ErrLapsed is returned instead of sending when the host's lease has run out.
 var ErrLapsed = errors.New("the lease lapsed before the first byte was sent")
 
+// errSealed is returned instead of sending a request that was given up as not sent, or that another connection carries.
+var errSealed = errors.New("the request was given up or went out on another connection")
+
 // guard lets the first byte of a request out only while the lease holds, and knows whether any left.
 type guard struct {
-	valid func() bool
-	wrote atomic.Bool
+	valid  func() bool
+	mu     sync.Mutex
+	writer net.Conn // the connection that carried the first byte
+	sealed bool
+}
+
+// allow decides on a write. Only one connection ever carries bytes, and after seal only one that already did.
+func (g *guard) allow(c net.Conn) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case g.writer == c:
+		return nil
+	case g.sealed || g.writer != nil:
+		return errSealed
+	case !g.valid():
+		return ErrLapsed
+	}
+	g.writer = c
+	return nil
+}
+
+// seal bars the first byte from now on and reports whether none has left. net/http may still hold the connection
+// in a goroutine of its own when it returns the error of a cancelled request.
+func (g *guard) seal() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sealed = true
+	return g.writer == nil
 }
 
 // guarded is a connection that asks its guard before the first write.
@@ -25,11 +55,8 @@
 
 // Write sends p, unless nothing was sent before and the lease has lapsed.
 func (c *guarded) Write(p []byte) (int, error) {
-	if !c.guard.wrote.Load() {
-		if !c.guard.valid() {
-			return 0, ErrLapsed
-		}
-		c.guard.wrote.Store(true)
+	if err := c.guard.allow(c.Conn); err != nil {
+		return 0, err
 	}
 	return c.Conn.Write(p)
 }
--- a/io/entry/complete.go
+++ b/io/entry/complete.go
@@ -50,7 +50,7 @@
 	}
 	req, err := s.newRequest(r, body)
 	if err != nil {
-		badRequest(w, work.Reason(err.Error()))
+		reject(w, work.Reason(err.Error()))
 		return
 	}
 	req.Model = model
@@ -77,7 +77,7 @@
 	}
 	req, err := s.newRequest(r, body)
 	if err != nil {
-		badRequest(w, work.Reason(err.Error()))
+		reject(w, work.Reason(err.Error()))
 		return
 	}
 	name := r.PathValue("name")
@@ -100,6 +100,15 @@
 	return body, true
 }
 
+// reject answers a request whose headers are wrong.
+func reject(w http.ResponseWriter, reason work.Reason) {
+	if reason == work.KeyExpired {
+		problem(w, statuses[reason], work.Refusal{Outcome: work.NotRun, Reason: reason, Step: "admit"})
+		return
+	}
+	badRequest(w, reason)
+}
+
 func badRequest(w http.ResponseWriter, reason work.Reason) {
 	problem(w, http.StatusBadRequest, work.Refusal{Outcome: work.NotRun, Reason: reason, Step: "admit"})
 }
@@ -126,15 +135,36 @@
 		return req, errors.New("bad-key")
 	}
 	req.Key = ident.Key(key)
+	if err := readDeadline(r, &req, time.Now()); err != nil {
+		return req, err
+	}
 	if req.Once() {
 		req.Digest = digestOf(r, body)
 	}
 	return req, nil
 }
 
+// readDeadline takes the absolute deadline, which bounds the life of the key.
+func readDeadline(r *http.Request, req *work.Request, now time.Time) error {
+	text := r.Header.Get(DeadlineHeader)
+	if text == "" {
+		return nil
+	}
+	end, err := time.Parse(time.RFC3339, text)
+	if err != nil || end.After(now.Add(maxKeyLife)) {
+		return errors.New("bad-deadline")
+	}
+	if !end.After(now) {
+		return errors.New(string(work.KeyExpired))
+	}
+	req.KeyEnds = end.Unix()
+	req.Left = min(req.Left, end.Sub(now))
+	return nil
+}
+
 func digestOf(r *http.Request, body []byte) claim.Digest {
 	h := sha256.New()
-	_, _ = io.WriteString(h, r.Method+" "+r.URL.RequestURI()+"\n")
+	_, _ = io.WriteString(h, r.Method+" "+r.URL.RequestURI()+"\n"+r.Header.Get(DeadlineHeader)+"\n")
 	_, _ = h.Write(body)
 	return claim.Digest(h.Sum(nil))
 }
@@ -143,35 +173,51 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, req work.Request, call relay.Call) {
 	w.Header().Set(RequestHeader, req.ID.String())
 	x := s.host.Submit(req, call)
-	answered := s.answer(w, r, x)
-	s.host.Finish(x, answered)
+	defer s.host.Finish(x)
+	s.answer(w, r, x, req.Left+answerGrace)
+}
+
+// answerGrace is the time after a request's deadline in which its owner's word may still come.
+const answerGrace = time.Second
+
+// noWord is the final answer to a request of whose owner nothing was heard in time.
+func noWord(id ident.RequestID) relay.Chunk {
+	r := work.Refusal{Outcome: work.InDoubt, Reason: work.Late, Step: "answer", RetryAfter: world.RetryLater}
+	return relay.Chunk{ID: id, Refusal: &r}
 }
 
-// answer writes chunks as they come and reports whether the exchange is over.
-func (s *Server) answer(w http.ResponseWriter, r *http.Request, x *relay.Exchange) bool {
+// answer writes chunks as they come.
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, x *relay.Exchange, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	control := http.NewResponseController(w)
 	started := false
 	for {
 		select {
 		case <-r.Context().Done():
-			return false
+			return
+		case <-timer.C:
+			refuse(w, *noWord(x.ID).Refusal, started)
+			return
 		case c := <-x.Chunks:
 			if c.Refusal != nil {
 				refuse(w, *c.Refusal, started)
-				return true
+				return
 			}
+			_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if !started {
 				w.Header().Set("Content-Type", c.ContentType)
 				w.WriteHeader(c.Status)
 				started = true
 			}
 			if _, err := w.Write(c.Data); err != nil {
-				return c.End
+				return
 			}
 			if c.End {
-				return true
+				return
 			}
 			if len(x.Chunks) == 0 {
-				_ = http.NewResponseController(w).Flush()
+				_ = control.Flush()
 			}
 		}
 	}
@@ -181,6 +227,9 @@
 	work.UnknownAdapter: http.StatusNotFound,
 	work.KeyReused:      http.StatusUnprocessableEntity,
 	work.KeyRunning:     http.StatusConflict,
+	work.KeyInDoubt:     http.StatusConflict,
+	work.KeyExpired:     http.StatusGone,
+	work.WrongAnswer:    http.StatusBadGateway,
 	work.Late:           http.StatusGatewayTimeout,
 	work.Overload:       http.StatusTooManyRequests,
 	work.EndpointFailed: http.StatusBadGateway,
@@ -212,12 +261,14 @@
 	panic(http.ErrAbortHandler)
 }
 
-// ReplayHeader marks the stored answer of a request that ran before.
+// ReplayHeader marks the stored answer of a request that ran before: "true", or "state-only" when the answer was too
+// large to store and the body is the KeyStatus.
 const ReplayHeader = "Shallotgap-Replay"
 
 func replay(w http.ResponseWriter, rec claim.Record) {
 	w.Header().Set(ReplayHeader, "true")
 	if rec.Answer == nil {
+		w.Header().Set(ReplayHeader, "state-only")
 		writeJSON(w, http.StatusOK, statusOf(world.Asked{Record: &rec}))
 		return
 	}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -22,9 +22,10 @@
 // Headers that callers may send.
 const (
 	WorkspaceHeader = "Shallotgap-Workspace"
-	TimeoutHeader   = "Shallotgap-Timeout" // a duration with its unit, such as 30s
-	UrgencyHeader   = "Shallotgap-Urgency" // bulk, normal or urgent
-	RequestHeader   = "Shallotgap-Request" // in answers: the request's id
+	TimeoutHeader   = "Shallotgap-Timeout"  // a duration with its unit, such as 30s
+	UrgencyHeader   = "Shallotgap-Urgency"  // bulk, normal or urgent
+	DeadlineHeader  = "Shallotgap-Deadline" // an RFC 3339 time; the key's last moment, the same in every resend
+	RequestHeader   = "Shallotgap-Request"  // in answers: the request's id
 	KeyHeader       = "Idempotency-Key"
 )
 
@@ -34,6 +35,8 @@
 	defaultTimeout = 60 * time.Second
 	maxTimeout     = 10 * time.Minute
 	maxKey         = 200 // bytes of an Idempotency-Key
+	maxKeyLife     = 30 * 24 * time.Hour
+	writeTimeout   = 30 * time.Second // for a caller to take one piece of its answer
 )
 
 // DefaultWorkspace is used where a caller names none and no tokens are configured.
--- a/io/host/submit.go
+++ b/io/host/submit.go
@@ -33,9 +33,9 @@
 }
 
 // Finish closes an exchange; work that goes on for it is cancelled.
-func (h *Host) Finish(x *relay.Exchange, answered bool) {
-	owner := h.Relay.Close(x.ID)
-	if answered {
+func (h *Host) Finish(x *relay.Exchange) {
+	owner, working := h.Relay.Close(x.ID)
+	if !working {
 		return
 	}
 	h.post(world.Event{Cancel: &world.Cancel{ID: x.ID}})
@@ -58,8 +58,22 @@
 	return v.(state.Result), nil
 }
 
-// Record returns the record of a claim as the leader knows it.
+// Record returns the record of a claim. Only a final state is taken from the leader's word: a host that no longer
+// leads may not know of a claim, so all else is read in the order of the log.
 func (h *Host) Record(ctx context.Context, n claim.Name) (world.Asked, error) {
+	a, err := h.ask(ctx, n)
+	if err != nil || (a.Record != nil && (a.Record.State == claim.Done || a.Record.State == claim.InDoubt)) {
+		return a, err
+	}
+	res, err := h.Propose(ctx, state.Command{Look: &n})
+	if err != nil || res.Claim == nil {
+		return world.Asked{}, ErrNoAnswer
+	}
+	return world.Asked{Index: res.Index, Record: res.Claim.Record}, nil
+}
+
+// ask returns the record of a claim as the host that leads, or did so, knows it.
+func (h *Host) ask(ctx context.Context, n claim.Name) (world.Asked, error) {
 	t, answer := h.newTicket()
 	h.post(world.Event{Ask: &world.Question{Ticket: t, Name: n}})
 	v, err := h.await(ctx, t, answer)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -54,6 +54,8 @@
 	// Owner is the host that the request was forwarded to, or "".
 	owner ident.HostID
 	over  bool
+	// cut is set when this host broke the answer off while its owner may go on.
+	cut bool
 }
 
 // Table holds the open exchanges and the bodies of requests that wait at this host.
@@ -78,17 +80,18 @@
 	return x
 }
 
-// Close ends an exchange and returns the host that still works for it, or "".
-func (t *Table) Close(id ident.RequestID) ident.HostID {
+// Close ends an exchange. It returns the host that the request was forwarded to, or "", and whether work may go on
+// for it.
+func (t *Table) Close(id ident.RequestID) (owner ident.HostID, working bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	x := t.exchanges[id]
 	delete(t.exchanges, id)
 	delete(t.calls, id)
-	if x == nil || x.over {
-		return ""
+	if x == nil {
+		return "", false
 	}
-	return x.owner
+	return x.owner, x.cut || !x.over
 }
 
 // Keep stores the call of a request that another host forwarded.
@@ -133,10 +136,12 @@
 	}
 	if c.Refusal == nil && c.Seq != x.next {
 		c = broken(c.ID, "sequence")
+		x.cut = true
 	}
 	x.next++
 	if len(x.Chunks) >= window-1 && !c.End && c.Refusal == nil {
 		c = broken(c.ID, "slow-caller")
+		x.cut = true
 	}
 	x.over = c.End || c.Refusal != nil
 	x.Chunks <- c
