Drain planned stops whole: checked refusals, handed-over work, no cut queue

Cause: a stop was marked safe as soon as the host owned nothing; endpoint stops were safe at once, nothing was refused, an owner under steady load never became idle, and its queue was refused to the callers. Ruled out: giving an endpoint back only when it is idle (never happens under load); letting the old owner forward its queue (answers would pass through a host that stops); releasing a claim without naming its holder (a doubled release would free the claim of the next owner). Change: core/drain checks a stop where the log is applied, with the hosts that the leader names in the mark, so of two stops at once the second one sees the first; targets endpoint-host and domain; steps name the state they start from. The leader moves endpoints at once; what waits goes back to its entry host and is routed again; what runs is handed to the successor as pinned; claims name their holder. Safe needs: address answers outlived, nothing owned, nothing served or run by the hosts' own renewals, a majority of up-to-date voters that stay, leadership gone. It reverts otherwise. Leaving is final for an endpoint's instance, and the endpoint departs when idle.

--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -61,8 +61,10 @@
 type Close struct {
 	Name
 	Request ident.RequestID `json:"request"`
-	State   State           `json:"state"`
-	Answer  *Answer         `json:"answer,omitempty"`
+	// Holder is the run that held the claim: the same request may have been claimed again by another host.
+	Holder Holder  `json:"holder"`
+	State  State   `json:"state"`
+	Answer *Answer `json:"answer,omitempty"`
 }
 
 // Abandon turns all open claims of a host's earlier runs into in-doubt ones.
@@ -118,7 +120,7 @@
 		if r.Digest != o.Digest {
 			return Result{Mismatch: true}
 		}
-		if r.Request == o.Request && r.State == Claimed {
+		if r.Request == o.Request && r.Holder == o.Holder && r.State == Claimed {
 			return Result{Granted: true}
 		}
 		if r.State != Released {
@@ -134,7 +136,7 @@
 // may still be settled by the endpoint's own word.
 func (b *Book) Close(c Close) bool {
 	r, ok := b.records[c.Name]
-	if !ok || r.Request != c.Request || (r.State != Claimed && r.State != InDoubt) {
+	if !ok || r.Request != c.Request || r.Holder != c.Holder || (r.State != Claimed && r.State != InDoubt) {
 		return false
 	}
 	if r.State == InDoubt && c.State == Released {
--- a/core/claim/expiry_test.go
+++ b/core/claim/expiry_test.go
@@ -14,7 +14,7 @@
 }
 
 func end(o claim.Open, s claim.State) claim.Close {
-	return claim.Close{Name: o.Name, Request: o.Request, State: s}
+	return claim.Close{Name: o.Name, Request: o.Request, Holder: o.Holder, State: s}
 }
 
 func TestExpireForgetsOnlyWhatEnded(t *testing.T) {
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -24,6 +24,10 @@
 	Sent        ident.Time        `json:"sent"`
 	Incarnation ident.Incarnation `json:"incarnation"`
 	Applied     ident.Index       `json:"applied"`
+	// Busy is the number of requests that the host serves for callers or runs at endpoints.
+	Busy int `json:"busy,omitempty"`
+	// Working are the endpoints that take no new work and at which requests of this host still run.
+	Working []ident.EndpointID `json:"working,omitempty"`
 }
 
 // Renewed is the leader's reply to Renew.
@@ -75,6 +79,7 @@
 	incarnation ident.Incarnation
 	applied     ident.Index
 	renewed     bool
+	last        Renew
 }
 
 // Granter is the leader's view of all leases. It is made anew with every term.
@@ -98,6 +103,7 @@
 		g.hosts[h] = c
 	}
 	c.applied = r.Applied
+	c.last = r
 	reply := Renewed{Sent: r.Sent, Incarnation: r.Incarnation}
 	if behind > g.Spread {
 		reply.Refused = true
@@ -135,6 +141,23 @@
 	return list
 }
 
+// Last returns the latest renewal of h, and whether its lease may still run.
+func (g *Granter) Last(h ident.HostID, now ident.Time) (Renew, bool) {
+	c := g.hosts[h]
+	if c == nil {
+		return Renew{}, false
+	}
+	return c.last, g.Alive(h, now)
+}
+
+// Silent returns for how long h has not renewed with this leader.
+func (g *Granter) Silent(h ident.HostID, now ident.Time) time.Duration {
+	if c := g.hosts[h]; c != nil && c.renewed {
+		return now.Sub(c.heard)
+	}
+	return now.Sub(g.since)
+}
+
 // Applied returns the index that h said it had applied, and whether its lease may still run.
 func (g *Granter) Applied(h ident.HostID, now ident.Time) (ident.Index, bool) {
 	c := g.hosts[h]
--- a/core/lease/owners.go
+++ b/core/lease/owners.go
@@ -6,6 +6,7 @@
 
 import (
 	"iter"
+	"net/url"
 
 	"shallotgap/core/ident"
 	"shallotgap/core/table"
@@ -40,11 +41,25 @@
 	Leaving bool `json:"leaving,omitempty"`
 }
 
+// Address returns the IP number, or the name, of the machine that the endpoint runs on; "" when its URL has none.
+func (e Endpoint) Address() string {
+	u, err := url.Parse(e.URL)
+	if err != nil {
+		return ""
+	}
+	return u.Hostname()
+}
+
+// Leaves reports whether this instance of the endpoint shuts down gracefully; it cannot take that back.
+func (e Endpoint) Leaves(i ident.Incarnation) bool { return e.Leaving && e.Instance == i }
+
 // Owned is an endpoint with its owner.
 type Owned struct {
 	Endpoint
 	Owner ident.HostID `json:"owner,omitempty"`
 	Fence ident.Fence  `json:"fence,omitempty"`
+	// Previous is the owner before the present one, "" for none.
+	Previous ident.HostID `json:"previous,omitempty"`
 }
 
 // Assign gives an endpoint to a host; the fencing number is the log index of the command.
@@ -85,7 +100,8 @@
 // Announce stores what an endpoint says of itself, keeping its owner.
 func (o *Owners) Announce(e Endpoint) {
 	old, _ := o.endpoints.Get(e.ID)
-	o.put(Owned{Endpoint: e, Owner: old.Owner, Fence: old.Fence})
+	e.Leaving = e.Leaving || old.Endpoint.Leaves(e.Instance)
+	o.put(Owned{Endpoint: e, Owner: old.Owner, Fence: old.Fence, Previous: old.Previous})
 }
 
 // Depart forgets an endpoint that has left, unless a newer instance was announced.
@@ -102,6 +118,9 @@
 	if !ok || e.Fence != a.From {
 		return
 	}
+	if e.Owner != "" {
+		e.Previous = e.Owner
+	}
 	e.Owner = a.Owner
 	e.Fence = ident.Fence(i)
 	o.put(e)
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -81,10 +81,10 @@
 	case c.Assign != nil:
 		s.Owners.Assign(i, *c.Assign)
 	case c.Mark != nil:
-		r := s.Stops.Mark(*c.Mark)
+		r := s.Stops.Mark(*c.Mark, c.Wall, s.Owners)
 		res.Mark = &r
 	case c.Progress != nil:
-		s.Stops.Advance(*c.Progress)
+		s.Stops.Advance(i, *c.Progress, c.Wall, s.Owners)
 	default:
 		s.applyClaim(c, &res)
 	}
@@ -124,13 +124,13 @@
 	Applied ident.Index    `json:"applied"`
 	Rows    rows.Snapshot  `json:"rows"`
 	Owners  []lease.Owned  `json:"owners"`
-	Stops   []drain.Stop   `json:"stops"`
+	Stops   drain.Snapshot `json:"stops"`
 	Claims  []claim.Record `json:"claims,omitempty"`
 }
 
 // Snapshot returns a copy of the state; voters get all of it, other hosts neither claims nor the results of edits.
 func (s *State) Snapshot(voter bool) Snapshot {
-	snap := Snapshot{Applied: s.Applied, Rows: s.Rows.Snapshot(voter), Owners: s.Owners.List(), Stops: s.Stops.List()}
+	snap := Snapshot{Applied: s.Applied, Rows: s.Rows.Snapshot(voter), Owners: s.Owners.List(), Stops: s.Stops.Snapshot()}
 	if voter {
 		snap.Claims = s.Claims.List()
 	}
--- a/core/world/assign.go
+++ b/core/world/assign.go
@@ -38,7 +38,7 @@
 }
 
 func (l *leadership) needsOwner(w *World, e lease.Owned) bool {
-	if e.Owner == "" {
+	if e.Owner == "" || w.state.Stops.HostStops(e.Owner) {
 		return true
 	}
 	return l.granter.Expired(e.Owner, w.now)
--- a/core/world/control.go
+++ b/core/world/control.go
@@ -21,6 +21,7 @@
 type purpose struct {
 	ticket  Ticket
 	request *ident.RequestID
+	back    *backward
 }
 
 // pending is a proposal without an answer.
@@ -68,6 +69,8 @@
 		w.granted(*m.Grant)
 	case m.Done != nil:
 		w.lead.loadDone(*m.Done)
+	case m.Handover != nil:
+		w.handedOver(from, *m.Handover)
 	case m.Alive != nil:
 		w.heard(*m.Alive)
 	default:
@@ -176,6 +179,8 @@
 	if r == nil {
 		return
 	}
+	r.Busy = w.open + len(w.items)
+	r.Working = w.working()
 	for _, h := range w.leaderTargets() {
 		w.send(h, Message{Renew: r})
 	}
@@ -234,6 +239,10 @@
 		return
 	}
 	delete(w.pending, a.Ticket)
+	if p.purpose.back != nil {
+		w.passBack(p.purpose.back.item, p.purpose.back.refusal)
+		return
+	}
 	if p.purpose.request != nil {
 		w.claimed(*p.purpose.request, a.Result)
 		return
--- a/core/world/dispatch.go
+++ b/core/world/dispatch.go
@@ -17,6 +17,10 @@
 }
 
 func (w *World) dispatchSite(site *place.Site) {
+	if w.ending(site) {
+		w.clearQueue(site, work.Stopping)
+		return
+	}
 	for _, it := range append([]*place.Item(nil), site.Queue...) {
 		if !site.Ready(it) || it.Claiming {
 			continue
@@ -52,7 +56,7 @@
 	if it == nil {
 		return
 	}
-	if site := w.sites[it.Endpoint]; site != nil {
+	if site := w.sites[it.Endpoint]; !w.endStray(it) && site != nil {
 		site.End(it, w.now)
 	}
 	delete(w.items, e.ID)
--- a/core/world/event.go
+++ b/core/world/event.go
@@ -23,6 +23,8 @@
 	Ask       *Question       `json:"ask,omitempty"`
 	LinkLost  *LinkLost       `json:"link-lost,omitempty"`
 	Compacted *Compacted      `json:"compacted,omitempty"`
+	Bounced   *Bounced        `json:"bounced,omitempty"`
+	Finished  *Finished       `json:"finished,omitempty"`
 }
 
 // Compacted is an encoded snapshot of the state at Index.
--- a/core/world/lead.go
+++ b/core/world/lead.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"shallotgap/core/drain"
 	"shallotgap/core/feed"
 	"shallotgap/core/ident"
 	"shallotgap/core/lease"
@@ -24,6 +25,10 @@
 	// assigning holds the index of the latest assignment proposed; abandoning the time of the latest proposal.
 	assigning  map[ident.EndpointID]ident.Index
 	abandoning map[ident.HostID]ident.Time
+	// advancing holds the index of the latest step proposed for a stop, draining the time at which this leader
+	// first saw the drain that started at an index.
+	advancing map[drain.StopID]ident.Index
+	draining  map[ident.Index]ident.Time
 	// accepted are the latest public commands with the time of their acceptance, oldest first.
 	accepted []acceptance
 	pushed   ident.Index
@@ -50,6 +55,8 @@
 		waiting:    map[ident.Index]proposer{},
 		assigning:  map[ident.EndpointID]ident.Index{},
 		abandoning: map[ident.HostID]ident.Time{},
+		advancing:  map[drain.StopID]ident.Index{},
+		draining:   map[ident.Index]ident.Time{},
 		pushed:     w.state.Applied,
 	}
 }
@@ -60,6 +67,11 @@
 		return 0
 	}
 	p.Command.Wall = w.wall
+	if p.Command.Mark != nil {
+		m := *p.Command.Mark
+		m.Hosts = l.members(w)
+		p.Command.Mark = &m
+	}
 	data, err := wire.Marshal(p.Command)
 	if err != nil {
 		w.send(from, Message{Proposed: &Proposed{Ticket: p.Ticket, Result: state.Result{Err: err.Error()}}})
@@ -146,11 +158,11 @@
 	l.push(w)
 	l.assign(w)
 	l.abandon(w)
-	l.stops(w)
 	for _, g := range l.budget.Spend(w.now) {
 		grant := g.Grant
 		w.send(g.Host, Message{Grant: &grant})
 	}
+	l.stops(w)
 }
 
 // push sends new commands to the hosts without a log.
--- /dev/null
+++ b/core/world/leave.go
@@ -0,0 +1,172 @@
+package world
+
+import (
+	"slices"
+	"time"
+
+	"shallotgap/core/claim"
+	"shallotgap/core/ident"
+	"shallotgap/core/place"
+	"shallotgap/core/state"
+	"shallotgap/core/work"
+)
+
+// Bounced tells an entry host that the owner did not take a forwarded request; it has not run there.
+type Bounced struct {
+	ID      ident.RequestID `json:"id"`
+	Refusal work.Refusal    `json:"refusal"`
+}
+
+// Finished tells that nothing is owed to a caller of this host any more.
+type Finished struct {
+	ID ident.RequestID `json:"id"`
+}
+
+// Bounceable reports whether a refusal sends a request back to its entry host for another try, instead of to its caller.
+func Bounceable(r *work.Refusal) bool {
+	return r != nil && r.Outcome == work.NotRun && (r.Reason == work.NotOwner || r.Reason == work.Stopping)
+}
+
+// returned is a request that waits at its entry host for another endpoint or owner.
+type returned struct {
+	request  work.Request
+	deadline ident.Time
+	since    ident.Time
+	refusal  work.Refusal
+}
+
+// ending reports whether an endpoint of this host takes no new work.
+func (w *World) ending(site *place.Site) bool { return w.state.Stops.EndpointStops(site.Endpoint) }
+
+// clearQueue sends back what waits at an endpoint and has not been sent to it. A claimed request goes back only
+// after its claim was released by a majority; one whose claim is under way follows when that has ended.
+func (w *World) clearQueue(site *place.Site, reason work.Reason) {
+	for _, it := range slices.Clone(site.Queue) {
+		if !it.Claiming {
+			w.sendBack(it, reason)
+		}
+	}
+}
+
+// sendBack takes a request that was not dispatched out of its endpoint and returns it to its entry host.
+func (w *World) sendBack(it *place.Item, reason work.Reason) {
+	w.drop(it)
+	r := work.Refusal{Outcome: work.NotRun, Reason: reason, Step: "queue", Peer: string(it.Endpoint), RetryAfter: RetryLater}
+	if it.Claimed {
+		c := w.closing(it, claim.Released, nil)
+		w.propose(c, purpose{back: &backward{item: it, refusal: r}})
+		return
+	}
+	w.passBack(it, r)
+}
+
+// backward is a request that goes back to its entry host once its claim is released.
+type backward struct {
+	item    *place.Item
+	refusal work.Refusal
+}
+
+func (w *World) passBack(it *place.Item, r work.Refusal) {
+	if it.From != w.Self {
+		w.refuse(it.ID, it.From, r)
+		return
+	}
+	w.takeBack(it.Request, it.Deadline, w.now, r)
+}
+
+// bounced takes back a request that this host had forwarded.
+func (w *World) bounced(b Bounced) {
+	f, ok := w.forwards[b.ID]
+	if !ok {
+		w.refuse(b.ID, w.Self, b.Refusal)
+		return
+	}
+	delete(w.forwards, b.ID)
+	w.takeBack(f.request, f.deadline, f.since, b.Refusal)
+}
+
+func (w *World) takeBack(r work.Request, deadline, since ident.Time, why work.Refusal) {
+	w.note(r.ID, "return", string(why.Reason), why.Peer)
+	w.returned = append(w.returned, returned{request: r, deadline: deadline, since: since, refusal: why})
+}
+
+// rerouteFor bounds how long a returned request is tried again: a moved endpoint is known everywhere by then.
+// Bulk work waits until its deadline.
+func (w *World) rerouteFor() time.Duration {
+	return w.Params.Lease.Length + w.Params.Lease.Margin + w.Params.Lease.Spread
+}
+
+// reroute tries the returned requests again, in order.
+func (w *World) reroute() {
+	list := w.returned
+	w.returned = nil
+	for _, r := range list {
+		w.rerouteOne(r)
+	}
+}
+
+func (w *World) rerouteOne(r returned) {
+	if w.now >= r.deadline {
+		r.refusal.Reason = work.Late
+		w.refuse(r.request.ID, w.Self, r.refusal)
+		return
+	}
+	c, cause, ok := w.choose(r.request)
+	if !ok || !w.Serving() {
+		if r.request.Urgency != work.Bulk && w.now >= r.since.Add(w.rerouteFor()) {
+			w.refuse(r.request.ID, w.Self, r.refusal)
+			return
+		}
+		w.returned = append(w.returned, r)
+		return
+	}
+	r.request.Left = r.deadline.Sub(w.now)
+	w.note(r.request.ID, "route", string(cause), string(c.Endpoint))
+	w.pass(r.request, c, r.since)
+}
+
+// unreturn forgets a returned request whose caller has gone.
+func (w *World) unreturn(id ident.RequestID) {
+	w.returned = slices.DeleteFunc(w.returned, func(r returned) bool { return r.request.ID == id })
+}
+
+// finished forgets a caller's request.
+func (w *World) finished(id ident.RequestID) {
+	w.open--
+	delete(w.forwards, id)
+	w.unreturn(id)
+}
+
+// working returns the endpoints that take no new work and at which requests of this host still run, in order.
+func (w *World) working() []ident.EndpointID {
+	found := map[ident.EndpointID]bool{}
+	for _, it := range w.items {
+		if found[it.Endpoint] {
+			continue
+		}
+		if e, ok := w.state.Owners.Get(it.Endpoint); ok && w.state.Stops.EndpointStops(e.Endpoint) {
+			found[it.Endpoint] = true
+		}
+	}
+	return sortedKeys(found)
+}
+
+// departLeaving forgets an endpoint that leaves by itself, once nothing runs there any more.
+func (w *World) departLeaving(site *place.Site) {
+	if !site.Leaving || site.Running > 0 || len(site.Queue) > 0 || w.foreign(site.ID) {
+		return
+	}
+	taken := w.taken[site.ID]
+	if w.now < taken.departAt {
+		return
+	}
+	taken.departAt = w.now.Add(ResendAfter)
+	d := state.Depart{Endpoint: site.ID, Instance: site.Instance}
+	w.propose(state.Command{Depart: &d}, purpose{})
+}
+
+// foreign reports whether a former owner still runs work at an endpoint.
+func (w *World) foreign(id ident.EndpointID) bool {
+	taken := w.taken[id]
+	return taken != nil && len(taken.pins) > 0
+}
--- a/core/world/message.go
+++ b/core/world/message.go
@@ -25,6 +25,7 @@
 	Grant    *place.Grant    `json:"grant,omitempty"`
 	Done     *place.Grant    `json:"done,omitempty"`
 	Alive    *lease.Endpoint `json:"alive,omitempty"`
+	Handover *Handover       `json:"handover,omitempty"`
 }
 
 // Ticket ties an answer to the question of one host's run.
--- a/core/world/once.go
+++ b/core/world/once.go
@@ -33,7 +33,7 @@
 		it.Claimed = true
 		w.note(id, "claim", "committed by a majority", "")
 		if w.sites[it.Endpoint] == nil {
-			w.giveUp(it, work.Refusal{Outcome: work.NotRun, Reason: work.NotOwner, Step: "claim", Peer: string(it.Endpoint), RetryAfter: RetryLater})
+			w.sendBack(it, work.NotOwner)
 		}
 		return
 	}
@@ -46,8 +46,12 @@
 }
 
 func (w *World) closeClaim(it *place.Item, s claim.State, a *claim.Answer) {
-	c := claim.Close{Name: it.Name(), Request: it.ID, State: s, Answer: a}
-	w.propose(state.Command{Close: &c}, purpose{})
+	w.propose(w.closing(it, s, a), purpose{})
+}
+
+func (w *World) closing(it *place.Item, s claim.State, a *claim.Answer) state.Command {
+	holder := claim.Holder{Host: w.Self, Incarnation: w.Incarnation}
+	return state.Command{Close: &claim.Close{Name: it.Name(), Request: it.ID, Holder: holder, State: s, Answer: a}}
 }
 
 func claimState(s work.EndState) claim.State {
--- a/core/world/own.go
+++ b/core/world/own.go
@@ -1,7 +1,6 @@
 package world
 
 import (
-	"shallotgap/core/drain"
 	"shallotgap/core/ident"
 	"shallotgap/core/lease"
 	"shallotgap/core/place"
@@ -45,6 +44,7 @@
 func (w *World) takeSite(e lease.Owned) {
 	site := place.NewSite(e, w.now, w.now.Add(w.Params.LongestRequest))
 	w.sites[e.ID] = site
+	w.taken[e.ID] = &takenSite{at: w.now, inspectAt: w.now.Add(inspectEvery), pins: map[ident.HostID][]*place.Slot{}}
 	if e.Kind == lease.Engine {
 		w.emit(Effect{Inspect: &Inspect{Endpoint: e}})
 		return
@@ -52,13 +52,10 @@
 	site.FrozenUntil = w.now
 }
 
-// loseSite refuses what waits; what runs goes on and ends by itself.
+// loseSite sends back what waits; what runs goes on, ends by itself, and is handed over as pinned.
 func (w *World) loseSite(site *place.Site) {
-	for _, it := range append([]*place.Item(nil), site.Queue...) {
-		if !it.Claiming {
-			w.giveUp(it, work.Refusal{Outcome: work.NotRun, Reason: work.NotOwner, Step: "queue", Peer: string(site.ID), RetryAfter: RetryLater})
-		}
-	}
+	w.clearQueue(site, work.NotOwner)
+	w.leaveSite(site)
 	delete(w.sites, site.ID)
 }
 
@@ -76,7 +73,7 @@
 			site.Slots[m] = &place.Slot{Model: m, LastUse: w.now}
 		}
 	}
-	if in.Running == 0 {
+	if in.Running == 0 && w.settled(site) {
 		site.FrozenUntil = w.now
 	}
 }
@@ -93,6 +90,10 @@
 // announced takes what an endpoint says of itself to this host.
 func (w *World) announced(e lease.Endpoint) {
 	old, known := w.state.Owners.Get(e.ID)
+	e.Leaving = e.Leaving || old.Leaves(e.Instance)
+	if !known && e.Leaving {
+		return
+	}
 	if !known || old.Endpoint != e {
 		w.propose(state.Command{Announce: &e}, purpose{})
 		return
@@ -117,10 +118,8 @@
 		site := w.sites[id]
 		w.checkSilence(site)
 		wants = append(wants, w.wants(site)...)
-		if site.Running == 0 && len(site.Queue) == 0 && w.state.Stops.Stopping(drain.Host, string(w.Self)) {
-			a := lease.Assign{Endpoint: id, From: site.Fence}
-			w.propose(state.Command{Assign: &a}, purpose{})
-		}
+		w.inspectFrozen(site)
+		w.departLeaving(site)
 	}
 	if w.leader != "" && w.Serving() {
 		w.send(w.leader, Message{Wants: &Wants{List: wants}})
--- a/core/world/serve.go
+++ b/core/world/serve.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"time"
 
-	"shallotgap/core/drain"
 	"shallotgap/core/ident"
 	"shallotgap/core/lease"
 	"shallotgap/core/place"
@@ -15,8 +14,11 @@
 
 // forwarded is a request that this entry host passed to an owner.
 type forwarded struct {
-	request work.Request
-	to      ident.HostID
+	request  work.Request
+	to       ident.HostID
+	deadline ident.Time
+	// since is when the request came, or when it was first returned.
+	since ident.Time
 }
 
 // RetryLater tells a caller to come back after leases and ownership have had time to move.
@@ -24,6 +26,9 @@
 
 // arrive decides where a request goes.
 func (w *World) arrive(a Arrive) {
+	if a.From == w.Self {
+		w.open++
+	}
 	if !w.Serving() {
 		w.refuse(a.Request.ID, a.From, work.Refusal{Outcome: work.NotRun, Reason: work.NoLease, Step: "admit", RetryAfter: RetryLater})
 		return
@@ -42,12 +47,17 @@
 		return
 	}
 	w.note(a.Request.ID, "route", string(cause), string(c.Endpoint))
+	w.pass(a.Request, c, w.now)
+}
+
+// pass hands a request of this host's caller to the owner of its endpoint.
+func (w *World) pass(r work.Request, c route.Candidate, since ident.Time) {
 	if c.Owner == w.Self {
-		w.enqueue(a.Request, a.From, c.Endpoint)
+		w.enqueue(r, w.Self, c.Endpoint)
 		return
 	}
-	w.forwards[a.Request.ID] = forwarded{request: a.Request, to: c.Owner}
-	w.emit(Effect{Forward: &Forward{Request: a.Request, To: c.Owner, Endpoint: c.Endpoint}})
+	w.forwards[r.ID] = forwarded{request: r, to: c.Owner, deadline: w.now.Add(r.Left), since: since}
+	w.emit(Effect{Forward: &Forward{Request: r, To: c.Owner, Endpoint: c.Endpoint}})
 }
 
 func (w *World) arriveFromEntry(a Arrive) {
@@ -93,7 +103,7 @@
 
 // takes reports whether an endpoint serves the request's kind and takes new work.
 func (w *World) takes(e lease.Owned, r work.Request) bool {
-	if e.Owner == "" || e.Leaving || w.state.Stops.Stopping(drain.Endpoint, string(e.ID)) {
+	if e.Owner == "" || w.state.Stops.EndpointStops(e.Endpoint) {
 		return false
 	}
 	if r.Service != "" {
@@ -140,6 +150,7 @@
 // cancel ends a request whose caller has gone. A claimed unrepeatable request runs on, so that its outcome is recorded.
 func (w *World) cancel(id ident.RequestID) {
 	delete(w.forwards, id)
+	w.unreturn(id)
 	it := w.items[id]
 	if it == nil || it.Claiming || it.Claimed {
 		return
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -58,6 +58,8 @@
 	StoreInFlight  int     // loads at once
 	KeyLife        time.Duration
 	CompactAfter   int // log entries between snapshots
+	// EntryLife is how long callers may keep an answer to GET /v1/entries.
+	EntryLife time.Duration
 }
 
 // Defaults returns the parameters that hold where the settings name none.
@@ -77,6 +79,7 @@
 		StoreInFlight:   8,
 		KeyLife:         24 * time.Hour,
 		CompactAfter:    4096,
+		EntryLife:       5 * time.Second,
 	}
 }
 
@@ -110,9 +113,17 @@
 	ownersSeen ownersSeen
 	items      map[ident.RequestID]*place.Item
 	forwards   map[ident.RequestID]forwarded
-	reports    map[ident.EndpointID]place.Report
-	reportAt   ident.Time
-	sent       map[ident.EndpointID]string
+	// returned are requests of this host's callers that go to another endpoint or owner.
+	returned []returned
+	// open is the number of callers' requests at this host.
+	open int
+	// left and taken are the endpoints whose work is handed over; stray are the requests that run at endpoints given up.
+	left     map[ident.EndpointID]*leftSite
+	taken    map[ident.EndpointID]*takenSite
+	stray    map[ident.RequestID]bool
+	reports  map[ident.EndpointID]place.Report
+	reportAt ident.Time
+	sent     map[ident.EndpointID]string
 }
 
 // mark is the end of the log that a write makes durable.
@@ -137,6 +148,9 @@
 		forwards: map[ident.RequestID]forwarded{},
 		reports:  map[ident.EndpointID]place.Report{},
 		sent:     map[ident.EndpointID]string{},
+		left:     map[ident.EndpointID]*leftSite{},
+		taken:    map[ident.EndpointID]*takenSite{},
+		stray:    map[ident.RequestID]bool{},
 	}
 	if c.Stored == nil {
 		return w, nil
@@ -216,6 +230,10 @@
 		w.propose(e.Propose.Command, purpose{ticket: e.Propose.Ticket})
 	case e.Ask != nil:
 		w.ask(*e.Ask)
+	case e.Bounced != nil:
+		w.bounced(*e.Bounced)
+	case e.Finished != nil:
+		w.finished(e.Finished.ID)
 	case e.Compacted != nil:
 		w.compacted(*e.Compacted)
 	case e.LinkLost != nil:
@@ -232,6 +250,8 @@
 	}
 	w.renew()
 	w.resend()
+	w.reroute()
+	w.handOver()
 	w.tickLeader()
 	w.tickSites()
 	w.expire()
--- a/fakes/sizes/claims_test.go
+++ b/fakes/sizes/claims_test.go
@@ -23,7 +23,7 @@
 }
 
 func finish(o *claim.Open) state.Command {
-	return state.Command{Close: &claim.Close{Name: o.Name, Request: o.Request, State: claim.Done, Answer: &claim.Answer{Status: 200, Body: make([]byte, 256)}}}
+	return state.Command{Close: &claim.Close{Name: o.Name, Request: o.Request, Holder: o.Holder, State: claim.Done, Answer: &claim.Answer{Status: 200, Body: make([]byte, 256)}}}
 }
 
 // BenchmarkClaim is the state machine's cost of one claim and its outcome beside the records that it holds.
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -115,6 +115,7 @@
 	s.DataFolder = self.Key("data-folder").String()
 	s.LogLevel = self.Key("log-level").MustString(s.LogLevel)
 	s.EntryLife = r.duration("callers", "entry-life", s.EntryLife)
+	s.Params.EntryLife = s.EntryLife
 	s.Params.StoreRate = r.float("store", "loads-per-second", s.Params.StoreRate)
 	s.Params.StoreInFlight = r.int("store", "loads-in-flight", s.Params.StoreInFlight)
 	s.Hosts = r.hosts()
--- a/io/entry/complete.go
+++ b/io/entry/complete.go
@@ -143,8 +143,9 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, req work.Request, call relay.Call) {
 	w.Header().Set(RequestHeader, req.ID.String())
 	x := s.host.Submit(req, call)
-	answered := s.answer(w, r, x)
-	s.host.Finish(x, answered)
+	answered := true // also when a broken stream is cut by a panic
+	defer func() { s.host.Finish(x, answered) }()
+	answered = s.answer(w, r, x)
 }
 
 // answer writes chunks as they come and reports whether the exchange is over.
--- a/io/host/effect.go
+++ b/io/host/effect.go
@@ -146,6 +146,9 @@
 	case f.Forward != nil:
 		h.Relay.Keep(f.Forward.Request.ID, f.Forward.Call)
 		h.post(world.Event{Arrive: &world.Arrive{Request: f.Forward.Request, From: from, Endpoint: f.Forward.Endpoint}})
+	case f.Chunk != nil && world.Bounceable(f.Chunk.Refusal):
+		h.Relay.Forwarded(f.Chunk.ID, "")
+		h.post(world.Event{Bounced: &world.Bounced{ID: f.Chunk.ID, Refusal: *f.Chunk.Refusal}})
 	case f.Chunk != nil:
 		h.Relay.Deliver(*f.Chunk)
 	case f.Cancel != nil:
--- a/io/host/submit.go
+++ b/io/host/submit.go
@@ -35,6 +35,7 @@
 // Finish closes an exchange; work that goes on for it is cancelled.
 func (h *Host) Finish(x *relay.Exchange, answered bool) {
 	owner := h.Relay.Close(x.ID)
+	defer h.post(world.Event{Finished: &world.Finished{ID: x.ID}})
 	if answered {
 		return
 	}
