--- a/core/lease/owners.go
+++ b/core/lease/owners.go
@@ -6,6 +6,7 @@
 
 import (
 	"iter"
+	"net/url"
 
 	"shallotgap/core/ident"
 	"shallotgap/core/table"
@@ -42,6 +43,18 @@
 	Leaving bool `json:"leaving,omitempty"`
 }
 
+// Address returns the IP number, or the name, of the machine that the endpoint runs on; "" when its URL has none.
+func (e Endpoint) Address() string {
+	u, err := url.Parse(e.URL)
+	if err != nil {
+		return ""
+	}
+	return u.Hostname()
+}
+
+// Leaves reports whether this instance of the endpoint shuts down gracefully; it cannot take that back.
+func (e Endpoint) Leaves(i ident.Incarnation) bool { return e.Leaving && e.Instance == i }
+
 // Owned is an endpoint with its owner.
 type Owned struct {
 	Endpoint
@@ -53,6 +66,8 @@
 	Former ident.Incarnation `json:"former,omitempty"`
 	// Gone is the wall-clock second (Unix) at which the endpoint was forgotten; 0 for a present one.
 	Gone int64 `json:"gone,omitempty"`
+	// Previous is the owner before the present one, "" for none.
+	Previous ident.HostID `json:"previous,omitempty"`
 }
 
 // KeepGone is the time in seconds for which the owner of an endpoint that has left is remembered. It is longer than
@@ -114,8 +129,11 @@
 		}
 		old.Former = old.Instance
 	}
+	e.Leaving = e.Leaving || old.Endpoint.Leaves(e.Instance)
 	o.gone.Delete(e.ID)
-	o.put(Owned{Endpoint: e, Owner: old.Owner, Fence: old.Fence, Last: old.Last, Former: old.Former})
+	old.Endpoint = e
+	old.Gone = 0
+	o.put(old)
 }
 
 // Departure tells that the owner with the fencing number has not heard an endpoint instance for too long. Fence 0
@@ -154,6 +172,9 @@
 	if a.Owner == "" {
 		e.Last = e.Owner
 	}
+	if e.Owner != "" {
+		e.Previous = e.Owner
+	}
 	e.Owner = a.Owner
 	e.Fence = ident.Fence(i)
 	o.put(e)
--- a/io/host/submit.go
+++ b/io/host/submit.go
@@ -33,6 +33,7 @@
 
 // Finish closes an exchange; work that goes on for it is cancelled.
 func (h *Host) Finish(x *relay.Exchange) {
+	defer h.post(world.Event{Finished: &world.Finished{ID: x.ID}})
 	owner, working := h.Relay.Close(x.ID)
 	if !working {
 		return
