--- a/core/state/state.go
+++ b/core/state/state.go
@@ -7,7 +7,6 @@
 	"shallotgap/core/ident"
 	"shallotgap/core/lease"
 	"shallotgap/core/rows"
-	"shallotgap/core/table"
 )
 
 // Command is one log entry's content; exactly one field is set, besides Wall.
@@ -23,13 +22,20 @@
 	Open     *claim.Open     `json:"open,omitempty"`
 	Close    *claim.Close    `json:"close,omitempty"`
 	Abandon  *claim.Abandon  `json:"abandon,omitempty"`
+	// Look reads a claim in the order of the log, so that no former leader can answer.
+	Look *claim.Name `json:"look,omitempty"`
 }
 
 // Depart forgets an endpoint instance.
 type Depart = lease.Departure
 
 // Public reports whether entry hosts without a data folder receive the command; claims stay with the voters.
-func (c Command) Public() bool { return c.Open == nil && c.Close == nil && c.Abandon == nil }
+func (c Command) Public() bool { return !c.Claims() }
+
+// Claims reports whether the command reads or changes claims only.
+func (c Command) Claims() bool {
+	return c.Open != nil || c.Close != nil || c.Abandon != nil || c.Look != nil
+}
 
 // Result is what applying a command gave.
 type Result struct {
@@ -39,8 +45,6 @@
 	Claim *claim.Result `json:"claim,omitempty"`
 	// Err is set when the command could not be proposed; it did not happen.
 	Err string `json:"err,omitempty"`
-	// repeated is set when a resent mark got its first result again.
-	repeated bool
 }
 
 // State is the replicated state as of Applied.
@@ -50,25 +54,17 @@
 	Owners  *lease.Owners
 	Stops   *drain.Stops
 	Claims  *claim.Book
-	// marks holds the first results of marks, so that a resent one gets its first answer.
-	marks *table.Memory[ident.EditID, drain.Result]
 }
 
-// MaxMarks is the number of marks whose first result is kept.
-const MaxMarks = 10_000
-
 // Changed reports whether the command changed the state that other hosts follow: an edit counts only when it was
-// accepted here, and neither an edit nor a mark when a resent one got its first result again.
+// accepted here, not when a resent one got its first result again.
 func (r Result) Changed() bool {
-	if r.repeated {
-		return false
-	}
 	return r.Edit == nil || (r.Edit.Verdict == rows.Accepted && r.Edit.Index == r.Index)
 }
 
 // New returns the empty state before the first entry.
 func New() *State {
-	return &State{Rows: rows.New(), Owners: lease.NewOwners(), Stops: drain.NewStops(), Claims: claim.NewBook(), marks: newMarks()}
+	return &State{Rows: rows.New(), Owners: lease.NewOwners(), Stops: drain.NewStops(), Claims: claim.NewBook()}
 }
 
 // Apply runs the command of entry i. A lower index than the applied one changes nothing.
@@ -89,43 +85,31 @@
 	case c.Assign != nil:
 		s.Owners.Assign(i, *c.Assign)
 	case c.Mark != nil:
-		s.mark(*c.Mark, &res)
+		r := s.Stops.Mark(*c.Mark, c.Wall, s.Owners)
+		res.Mark = &r
 	case c.Progress != nil:
-		s.Stops.Advance(*c.Progress)
+		s.Stops.Advance(i, *c.Progress, c.Wall, s.Owners)
 	default:
 		s.applyClaim(c, &res)
 	}
 	return res
 }
 
-func newMarks() *table.Memory[ident.EditID, drain.Result] {
-	return table.NewMemory[ident.EditID, drain.Result](MaxMarks)
-}
-
-// mark answers a mark that was applied before like the first time.
-func (s *State) mark(m drain.Mark, res *Result) {
-	r, known := s.marks.Get(m.ID)
-	if known {
-		res.repeated = true
-	} else {
-		r = s.Stops.Mark(m)
-		if m.ID != "" {
-			s.marks.Put(m.ID, r)
-		}
-	}
-	res.Mark = &r
-}
-
 func (s *State) applyClaim(c Command, res *Result) {
+	s.Claims.Expire(c.Wall)
 	switch {
 	case c.Open != nil:
-		s.Claims.Expire(c.Wall)
 		r := s.Claims.Open(*c.Open)
 		res.Claim = &r
 	case c.Close != nil:
 		s.Claims.Close(*c.Close)
 	case c.Abandon != nil:
 		s.Claims.Abandon(*c.Abandon)
+	case c.Look != nil:
+		res.Claim = &claim.Result{}
+		if r, ok := s.Claims.Get(*c.Look); ok {
+			res.Claim.Record = &r
+		}
 	}
 }
 
@@ -150,34 +134,31 @@
 	Rows    rows.Snapshot  `json:"rows"`
 	Owners  []lease.Owned  `json:"owners"`
 	Gone    []lease.Owned  `json:"gone,omitempty"`
-	Stops   []drain.Stop   `json:"stops"`
+	Stops   drain.Snapshot `json:"stops"`
 	Claims  []claim.Record `json:"claims,omitempty"`
-	// Marks are the ids of the latest marks, MarkResults their first results.
-	Marks       []ident.EditID `json:"marks,omitempty"`
-	MarkResults []drain.Result `json:"mark-results,omitempty"`
+	// Clock is the latest wall-clock second (Unix) by which claims expired.
+	Clock int64 `json:"clock,omitempty"`
 }
 
-// Snapshot returns a copy of the state; voters get all of it, other hosts neither claims nor first results.
+// Snapshot returns a copy of the state; voters get all of it, other hosts neither claims nor the results of edits.
 func (s *State) Snapshot(voter bool) Snapshot {
-	snap := Snapshot{Applied: s.Applied, Rows: s.Rows.Snapshot(voter), Owners: s.Owners.List(), Gone: s.Owners.ListGone(), Stops: s.Stops.List()}
+	snap := Snapshot{Applied: s.Applied, Rows: s.Rows.Snapshot(voter), Owners: s.Owners.List(), Gone: s.Owners.ListGone(), Stops: s.Stops.Snapshot()}
 	if voter {
 		snap.Claims = s.Claims.List()
-		snap.Marks = s.marks.Keys()
-		snap.MarkResults = s.marks.Values()
+		snap.Clock = s.Claims.Clock()
 	}
 	return snap
 }
 
 // Restore returns the state that s was taken from.
 func Restore(s Snapshot) *State {
-	out := &State{
+	claims := claim.RestoreBook(s.Claims)
+	claims.Expire(s.Clock)
+	return &State{
 		Applied: s.Applied,
 		Rows:    rows.Restore(s.Rows),
 		Owners:  lease.RestoreOwners(s.Owners, s.Gone),
 		Stops:   drain.RestoreStops(s.Stops),
-		Claims:  claim.RestoreBook(s.Claims),
-		marks:   newMarks(),
+		Claims:  claims,
 	}
-	out.marks.Restore(s.Marks, s.MarkResults)
-	return out
 }
--- a/core/world/lead.go
+++ b/core/world/lead.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"shallotgap/core/drain"
 	"shallotgap/core/feed"
 	"shallotgap/core/ident"
 	"shallotgap/core/lease"
@@ -26,6 +27,10 @@
 	abandoning map[ident.HostID]ident.Time
 	// taken is the index of the latest assignment that takes an endpoint from a host: it gets no lease before it knows.
 	taken map[ident.HostID]ident.Index
+	// advancing holds the index of the latest step proposed for a stop, draining the time at which this leader
+	// first saw the drain that started at an index.
+	advancing map[drain.StopID]ident.Index
+	draining  map[ident.Index]ident.Time
 	// accepted are the latest public commands with the time of their acceptance, oldest first.
 	accepted []acceptance
 	pushed   ident.Index
@@ -59,6 +64,8 @@
 		assigning:  map[ident.EndpointID]ident.Index{},
 		abandoning: map[ident.HostID]ident.Time{},
 		taken:      map[ident.HostID]ident.Index{},
+		advancing:  map[drain.StopID]ident.Index{},
+		draining:   map[ident.Index]ident.Time{},
 		pushed:     w.state.Applied,
 		accepted:   []acceptance{{index: w.state.Applied, at: longAgo}},
 	}
@@ -70,6 +77,11 @@
 		return 0
 	}
 	p.Command.Wall = w.wall
+	if p.Command.Mark != nil {
+		m := *p.Command.Mark
+		m.Hosts = l.members(w)
+		p.Command.Mark = &m
+	}
 	data, err := wire.Marshal(p.Command)
 	if err != nil {
 		w.send(from, Message{Proposed: &Proposed{Ticket: p.Ticket, Result: state.Result{Err: err.Error()}}})
@@ -166,11 +178,11 @@
 	l.push(w)
 	l.assign(w)
 	l.abandon(w)
-	l.stops(w)
 	for _, g := range l.budget.Spend(w.now) {
 		grant := g.Grant
 		w.send(g.Host, Message{Grant: &grant})
 	}
+	l.stops(w)
 }
 
 // push sends new commands to the hosts without a log.
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -63,6 +63,8 @@
 	Voters int
 	// RepairAfter is how long a voter may be silent before a host that stands by takes its seat.
 	RepairAfter time.Duration
+	// EntryLife is how long callers may keep an answer to GET /v1/entries.
+	EntryLife time.Duration
 }
 
 // Defaults returns the parameters that hold where the settings name none.
@@ -83,6 +85,7 @@
 		KeyLife:         24 * time.Hour,
 		CompactAfter:    4096,
 		RepairAfter:     30 * time.Second,
+		EntryLife:       5 * time.Second,
 	}
 }
 
@@ -114,9 +117,17 @@
 	ownersSeen ownersSeen
 	items      map[ident.RequestID]*place.Item
 	forwards   map[ident.RequestID]forwarded
-	reports    map[ident.EndpointID]place.Report
-	reportAt   ident.Time
-	sent       map[ident.EndpointID]string
+	// returned are requests of this host's callers that go to another endpoint or owner.
+	returned []returned
+	// open is the number of callers' requests at this host.
+	open int
+	// left and taken are the endpoints whose work is handed over; stray are the requests that run at endpoints given up.
+	left     map[ident.EndpointID]*leftSite
+	taken    map[ident.EndpointID]*takenSite
+	stray    map[ident.RequestID]bool
+	reports  map[ident.EndpointID]place.Report
+	reportAt ident.Time
+	sent     map[ident.EndpointID]string
 }
 
 // New returns the world of a host that starts at c.Now.
@@ -136,6 +147,9 @@
 		sent:     map[ident.EndpointID]string{},
 		// Tickets of two runs never meet, so that a late answer to the earlier run matches nothing.
 		tickets: Ticket(c.Incarnation),
+		left:    map[ident.EndpointID]*leftSite{},
+		taken:   map[ident.EndpointID]*takenSite{},
+		stray:   map[ident.RequestID]bool{},
 	}
 	if c.Stored == nil {
 		return w, nil
@@ -213,6 +227,10 @@
 		w.propose(e.Propose.Command, purpose{ticket: e.Propose.Ticket})
 	case e.Ask != nil:
 		w.ask(*e.Ask)
+	case e.Bounced != nil:
+		w.bounced(*e.Bounced)
+	case e.Finished != nil:
+		w.finished(e.Finished.ID)
 	case e.Compacted != nil:
 		w.compacted(*e.Compacted)
 	case e.LinkLost != nil:
@@ -226,6 +244,8 @@
 func (w *World) tick() {
 	w.renew()
 	w.resend()
+	w.reroute()
+	w.handOver()
 	w.tickLeader()
 	w.tickSites()
 	w.expire()
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -125,6 +125,7 @@
 		r.fail("self", "log-level", "want debug, info, warn, error or fatal")
 	}
 	s.EntryLife = r.duration("callers", "entry-life", s.EntryLife)
+	s.Params.EntryLife = s.EntryLife
 	s.Params.StoreRate = r.float("store", "loads-per-second", s.Params.StoreRate)
 	s.Params.Voters = r.int("quorum", "voters", s.Params.Voters)
 	s.Params.RepairAfter = r.duration("quorum", "repair-after", s.Params.RepairAfter)
