Measure elections, take-overs, edits, starts and ways to detect failures; read long logs in linear time

Cause: no figures yet.

Change: fakes probe detect|times|start|edits|idle; entries are appended in place unless others are dropped; hosts in virtual time draw their own numbers. The restarted voter's promise gets a named case, and the frozen leader's scenario cuts the pair off from its successor (a trial mutation without the early tick survived the former one).

--- a/core/quorum/log.go
+++ b/core/quorum/log.go
@@ -62,7 +62,9 @@
 			continue
 		}
 		dropped := e.Index <= l.last()
-		l.truncate(e.Index - 1)
+		if dropped {
+			l.truncate(e.Index - 1)
+		}
 		l.entries = append(l.entries, entries[n:]...)
 		return appended{last: l.last(), changed: e.Index, dropped: dropped}
 	}
--- a/core/quorum/safety_test.go
+++ b/core/quorum/safety_test.go
@@ -54,6 +54,17 @@
 	assert.Equal(t, n.Role(), quorum.Candidate, "a vote of term 3 made a leader of term 4")
 }
 
+// A voter that restarts may have heard the leader right before, whose leases rest on its not voting for a while.
+func TestRestartedVoterKeepsItsPromiseNotToVote(t *testing.T) {
+	for at, granted := range map[time.Duration]bool{100 * time.Millisecond: false, 399 * time.Millisecond: false, 401 * time.Millisecond: true} {
+		n := newNode(quorum.Hard{Term: 1})
+		n.Tick(ident.Time(at))
+		n.Step(from("b", quorum.Message{Kind: quorum.Vote, Term: 2, Index: 1, LogTerm: 1}))
+		_, term := n.Leader()
+		assert.Equal(t, term == 2, granted, "at %v", at)
+	}
+}
+
 func TestSnapshotKeepsEntriesThatWereAcknowledged(t *testing.T) {
 	n := newNode(quorum.Hard{Term: 2}, normal(2, 2, 9)...)
 	snap := quorum.Snapshot{Index: 5, Term: 2, Members: three}
--- a/core/world/faults_test.go
+++ b/core/world/faults_test.go
@@ -118,10 +118,13 @@
 			old := w.leader()
 			cut := w.other(old, false)
 			w.Freeze(old)
+			// The two reach only each other, so that nothing tells the leader of its successor.
 			for _, h := range w.Hosts {
-				if h != old {
-					w.Cut(h.Name, cut.Name)
-					w.Cut(cut.Name, h.Name)
+				if h != old && h != cut {
+					for _, lone := range []*vtime.Host{old, cut} {
+						w.Cut(h.Name, lone.Name)
+						w.Cut(lone.Name, h.Name)
+					}
 				}
 			}
 			w.edit(cut)
--- a/fakes/fleet/cut.go
+++ b/fakes/fleet/cut.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"time"
 
 	"shallotgap/core/ident"
 	"shallotgap/io/peer"
@@ -38,6 +39,17 @@
 	f.cuts = map[way]bool{}
 }
 
+func (f *Fleet) delayOf(w way) time.Duration {
+	domains := map[ident.HostID]ident.DomainID{}
+	for _, h := range f.Hosts {
+		domains[h.Name] = h.Domain
+	}
+	if domains[w.from] == domains[w.to] {
+		return 0
+	}
+	return f.Delay
+}
+
 func (f *Fleet) dialFrom(from ident.HostID) peer.DialFunc {
 	return func(ctx context.Context, to ident.HostID, address string) (net.Conn, error) {
 		var d net.Dialer
@@ -56,6 +68,9 @@
 			f.conns[w] = map[net.Conn]bool{}
 		}
 		f.conns[w][conn] = true
+		if f.Delay > 0 || f.Sent != nil {
+			return newSlowConn(conn, f.delayOf(w), f.Sent), nil
+		}
 		return conn, nil
 	}
 }
--- a/fakes/fleet/fleet.go
+++ b/fakes/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"shallotgap/core/ident"
@@ -35,6 +36,10 @@
 	Seed uint64
 	// WrapLog, if set, stands before the log file of a host.
 	WrapLog func(h ident.HostID, f disk.File) disk.File
+	// Delay is the one-way delay between hosts of different failure domains.
+	Delay time.Duration
+	// Sent, if set, counts the bytes that the hosts send each other.
+	Sent *atomic.Int64
 }
 
 // Fleet is a running deployment.
--- a/fakes/main.go
+++ b/fakes/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"shallotgap/fakes/probe"
 	"shallotgap/fakes/stand"
 )
 
@@ -23,7 +24,9 @@
 	Plain  plain  `cmd:"" help:"Run a plain service."`
 	Store  store  `cmd:"" help:"Run the weight store."`
 	// Replay measures the serving decisions on a recorded trace.
-	Replay replayer `cmd:"" help:"Replay a trace through the decision core in virtual time and print what it measures."`
+	// Probe measures the replicated state.
+	Probe  probe.Command `cmd:"" help:"Measure failure detection, elections, take-overs, edits, starts and idle hosts."`
+	Replay replayer      `cmd:"" help:"Replay a trace through the decision core in virtual time and print what it measures."`
 }
 
 func main() {
--- a/fakes/vtime/fleet.go
+++ b/fakes/vtime/fleet.go
@@ -36,11 +36,12 @@
 
 // Host is one host of the fleet.
 type Host struct {
-	Name  ident.HostID
-	World *world.World // nil while the host is down
-	Disk  *Disk        // nil for a host without a data folder
-	run   int
-	rate  float64 // speed of the host's clock
+	Name   ident.HostID
+	World  *world.World // nil while the host is down
+	Disk   *Disk        // nil for a host without a data folder
+	number int
+	run    int
+	rate   float64 // speed of the host's clock
 	// frozen holds what arrived while the host stood still.
 	frozen  []world.Event
 	stopped bool
@@ -66,7 +67,7 @@
 func New(c Config) *Fleet {
 	f := &Fleet{Config: c, Rand: rand.New(rand.NewPCG(c.Seed, 1)), cuts: map[[2]ident.HostID]bool{}}
 	for n := range c.Hosts {
-		h := &Host{Name: ident.HostID(fmt.Sprintf("e%d", n+1)), rate: 1 + (f.Rand.Float64()-0.5)/25}
+		h := &Host{number: n + 1, Name: ident.HostID(fmt.Sprintf("e%d", n+1)), rate: 1 + (f.Rand.Float64()-0.5)/25}
 		if n < c.Disks {
 			h.Disk = f.newDisk(h, 0)
 		}
@@ -95,7 +96,7 @@
 	h.frozen, h.stopped = nil, false
 	c := world.Config{
 		Self: h.Name, Incarnation: ident.Incarnation(f.Now) + 1, Peers: f.peers(), Params: f.Params,
-		Rand: rand.New(rand.NewPCG(f.Seed, uint64(len(h.Name)*1000+h.run))), Now: h.clock(f.Now),
+		Rand: rand.New(rand.NewPCG(f.Seed, uint64(h.number*1000+h.run))), Now: h.clock(f.Now),
 	}
 	if h.Disk != nil {
 		c.Stored = h.Disk.Stored()
@@ -110,7 +111,7 @@
 
 // clock returns the host's own reading: another zero and another rate than the true time.
 func (h *Host) clock(now time.Duration) ident.Time {
-	return ident.Time(float64(now) * h.rate).Add(time.Duration(len(h.Name)) * time.Hour)
+	return ident.Time(float64(now) * h.rate).Add(time.Duration(h.number) * time.Hour)
 }
 
 func (f *Fleet) tick(h *Host, run int) {
--- a/io/disk/image.go
+++ b/io/disk/image.go
@@ -78,8 +78,7 @@
 		if e.Index <= img.base.Index || e.Index > img.base.Index+ident.Index(len(img.entries))+1 {
 			return errGap
 		}
-		keep := e.Index - img.base.Index - 1
-		img.entries = append(img.entries[:keep:keep], e)
+		img.entries = append(img.entries[:e.Index-img.base.Index-1], e)
 	}
 	return nil
 }
