Keep slots and places free of bulk, take turns at slots, and spread hot adapters

Cause: in mungitura urgent requests waited for their deadline (p95 15.00s) because streams of bulk pinned all four slots of the home engine of the hottest adapter, which had a thousand waiting requests while other engines were idle. Change: bulk leaves one slot and two batch places of each engine; a slot is closed for a more urgent request, or for bulk after 2 minutes; loads go to bulk last and else by waiting weight for each second of slack; reports name the adapters waited for; an adapter without a copy may go to the second or third home when its home has clearly more to do, and gets a further copy at a load of two batches; what a host sent since the last report counts.

--- a/core/place/budget.go
+++ b/core/place/budget.go
@@ -1,18 +1,41 @@
 package place
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"shallotgap/core/ident"
+	"shallotgap/core/work"
 )
 
 // Want is a wish to load an adapter, sent by an owner to the leader.
 type Want struct {
 	Endpoint ident.EndpointID `json:"endpoint"`
 	Model    ident.Model      `json:"model"`
-	// Waiting is the number of requests that wait for the load.
-	Waiting int `json:"waiting"`
+	// Waiting is the number of requests that wait for the load, Weight the sum of their weights.
+	Waiting int     `json:"waiting"`
+	Weight  float64 `json:"weight"`
+	// Urgency is the highest of the waiting requests; Slack is the time to the earliest deadline of those.
+	Urgency work.Urgency  `json:"urgency"`
+	Slack   time.Duration `json:"slack"`
+}
+
+// minSlack bounds how much a near deadline raises a wish.
+const minSlack = 100 * time.Millisecond
+
+// rank is the waiting weight for each second of slack.
+func (w Want) rank() float64 { return w.Weight / max(w.Slack, minSlack).Seconds() }
+
+// compareWants puts the wish to grant first at the front: bulk last, then that with more waiting weight for
+// each second of slack, then by name, so that every leader orders alike.
+func compareWants(x, y Want) int {
+	return cmp.Or(
+		cmp.Compare(min(y.Urgency, work.Normal), min(x.Urgency, work.Normal)),
+		cmp.Compare(y.rank(), x.rank()),
+		cmp.Compare(x.Endpoint, y.Endpoint),
+		compareModels(x.Model, y.Model),
+	)
 }
 
 // Grant allows one load. It must start within GrantLife.
@@ -70,11 +93,11 @@
 	b.flying = slices.DeleteFunc(b.flying, func(f flight) bool { return f.host == h })
 }
 
-// Spend grants as many loads as the budget allows at now, those with most waiting requests first.
+// Spend grants as many loads as the budget allows at now, in the order of compareWants.
 func (b *Budget) Spend(now ident.Time) []Granted {
 	b.refill(now)
 	b.flying = slices.DeleteFunc(b.flying, func(f flight) bool { return now.Sub(f.at) > GrantLife })
-	slices.SortStableFunc(b.wants, func(x, y owned) int { return y.Waiting - x.Waiting })
+	slices.SortFunc(b.wants, func(x, y owned) int { return compareWants(x.Want, y.Want) })
 	var list []Granted
 	for len(b.wants) > 0 && b.tokens >= 1 && len(b.flying) < b.InFlight {
 		w := b.wants[0]
--- a/core/place/evict.go
+++ b/core/place/evict.go
@@ -5,6 +5,7 @@
 
 	"shallotgap/core/ident"
 	"shallotgap/core/lease"
+	"shallotgap/core/work"
 )
 
 // Wants returns the wishes for the adapters that queued requests wait for and that are neither resident nor loading,
@@ -13,6 +14,17 @@
 	if s.Kind != lease.Engine {
 		return nil
 	}
+	var list []Want
+	for _, it := range s.heads() {
+		if _, ok := s.Room(it.Urgency, now); ok {
+			list = append(list, s.want(it, now))
+		}
+	}
+	return list
+}
+
+// heads returns the first waiting request of each adapter that is neither resident nor loading, in order.
+func (s *Site) heads() []*Item {
 	var heads []*Item
 	for m, group := range s.groups {
 		if s.Slots[m] == nil {
@@ -20,34 +32,33 @@
 		}
 	}
 	slices.SortFunc(heads, compareItems)
-	list := make([]Want, 0, len(heads))
-	for _, it := range heads {
-		if _, ok := s.Room(now); !ok {
-			break
-		}
-		list = append(list, s.want(it.Model))
-	}
-	return list
+	return heads
 }
 
-func (s *Site) want(m ident.Model) Want {
-	return Want{Endpoint: s.ID, Model: m, Waiting: len(s.groups[m])}
+// want describes the requests that wait for the adapter of head, the first of them.
+func (s *Site) want(head *Item, now ident.Time) Want {
+	group := s.groups[head.Model]
+	w := Want{Endpoint: s.ID, Model: head.Model, Waiting: len(group), Urgency: head.Urgency, Slack: head.Deadline.Sub(now)}
+	for _, it := range group {
+		w.Weight += it.weight()
+		if it.Urgency == head.Urgency {
+			w.Slack = min(w.Slack, it.Deadline.Sub(now))
+		}
+	}
+	return w
 }
 
 // Wanted reports whether requests wait for an adapter that is neither resident nor loading.
 func (s *Site) Wanted(m ident.Model) bool { return s.Slots[m] == nil && len(s.groups[m]) > 0 }
 
-// Room returns whether a load can start, and the adapter to evict for it, if any.
-func (s *Site) Room(now ident.Time) (evict *ident.Model, ok bool) {
-	if len(s.Slots) < s.Owned.Slots {
+// Room returns whether a load for requests of the urgency can start, and the adapter to evict for it, if any.
+func (s *Site) Room(u work.Urgency, now ident.Time) (evict *ident.Model, ok bool) {
+	if len(s.Slots) < s.Owned.Slots && !s.crowded(u) {
 		return nil, true
 	}
-	if now < s.FrozenUntil {
-		return nil, false
-	}
 	var victim *Slot
 	for _, slot := range s.Slots {
-		if slot.Pins > 0 || slot.Loading || len(s.groups[slot.Model]) > 0 {
+		if !s.evictable(slot, u, now) {
 			continue
 		}
 		if victim == nil || goesBefore(slot, victim) {
@@ -60,6 +71,33 @@
 	return &victim.Model, true
 }
 
+// crowded reports whether requests of the urgency have as many slots as they may.
+func (s *Site) crowded(u work.Urgency) bool {
+	return u == work.Bulk && s.bulkSlots() >= max(1, s.Owned.Slots-s.UrgentSlots)
+}
+
+// evictable reports whether a slot may be given up for requests of the urgency.
+func (s *Site) evictable(slot *Slot, u work.Urgency, now ident.Time) bool {
+	if now < s.FrozenUntil || slot.Pins > 0 || slot.Loading || s.awaited(slot) {
+		return false
+	}
+	return slot.Bulk || !s.crowded(u)
+}
+
+// awaited reports whether requests wait for the slot's adapter that the slot still takes.
+func (s *Site) awaited(slot *Slot) bool { return !slot.Closed && len(s.groups[slot.Model]) > 0 }
+
+// bulkSlots counts the slots that only bulk requests use.
+func (s *Site) bulkSlots() int {
+	n := 0
+	for _, slot := range s.Slots {
+		if slot.Bulk {
+			n++
+		}
+	}
+	return n
+}
+
 // goesBefore reports whether x is evicted before y.
 func goesBefore(x, y *Slot) bool {
 	if x.LastUse != y.LastUse {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -16,13 +16,20 @@
 	// Pins counts the requests running on the adapter; a pinned one is never evicted.
 	Pins    int
 	LastUse ident.Time
+	// Bulk is true while only bulk requests have used the adapter since its load.
+	Bulk bool
+	// Closed slots start no further requests, so that another adapter gets its turn.
+	Closed bool
 }
 
 // Site is an owned endpoint with what its owner knows of it.
 type Site struct {
 	lease.Owned
+	Policy
 	Slots   map[ident.Model]*Slot
 	Running int
+	// BulkRunning counts the bulk requests among Running.
+	BulkRunning int
 	// Queue holds the waiting requests in order of arrival.
 	Queue []*Item
 	// Heard is when the endpoint last announced itself.
@@ -35,8 +42,8 @@
 }
 
 // NewSite returns a site taken over at now.
-func NewSite(o lease.Owned, now, frozenUntil ident.Time) *Site {
-	return &Site{Owned: o, Slots: map[ident.Model]*Slot{}, Heard: now, FrozenUntil: frozenUntil, groups: map[ident.Model][]*Item{}}
+func NewSite(o lease.Owned, p Policy, now, frozenUntil ident.Time) *Site {
+	return &Site{Owned: o, Policy: p, Slots: map[ident.Model]*Slot{}, Heard: now, FrozenUntil: frozenUntil, groups: map[ident.Model][]*Item{}}
 }
 
 // Report is what an owner tells the other hosts about a site.
@@ -45,8 +52,10 @@
 	Fence    ident.Fence      `json:"fence"`
 	Resident []ident.Model    `json:"resident,omitempty"`
 	Loading  []ident.Model    `json:"loading,omitempty"`
-	Running  int              `json:"running"`
-	Queued   int              `json:"queued"`
+	// Waiting are the models that requests wait for and that are neither resident nor loading.
+	Waiting []ident.Model `json:"waiting,omitempty"`
+	Running int           `json:"running"`
+	Queued  int           `json:"queued"`
 }
 
 // Report returns the site's current report, with models in order.
@@ -59,6 +68,12 @@
 			r.Resident = append(r.Resident, m)
 		}
 	}
+	for m := range s.groups {
+		if s.Slots[m] == nil && s.Kind == lease.Engine {
+			r.Waiting = append(r.Waiting, m)
+		}
+	}
+	slices.SortFunc(r.Waiting, compareModels)
 	slices.SortFunc(r.Resident, compareModels)
 	slices.SortFunc(r.Loading, compareModels)
 	return r
@@ -101,7 +116,7 @@
 	}
 	var best *Item
 	for m, slot := range s.Slots {
-		if slot.Loading {
+		if slot.Loading || slot.Closed {
 			continue
 		}
 		if it := s.first(m, may); it != nil && (best == nil || it.before(best)) {
@@ -114,21 +129,33 @@
 // first returns the first dispatchable request of an adapter.
 func (s *Site) first(m ident.Model, may func(*Item) bool) *Item {
 	for _, it := range s.groups[m] {
-		if !it.Claiming && may(it) {
+		if !it.Claiming && s.hasPlace(it.Urgency) && may(it) {
 			return it
 		}
 	}
 	return nil
 }
 
+// hasPlace reports whether the batch has room for a request of the urgency.
+func (s *Site) hasPlace(u work.Urgency) bool {
+	if s.Running >= s.MaxRunning {
+		return false
+	}
+	return u > work.Bulk || s.Kind == lease.Plain || s.BulkRunning < max(1, s.MaxRunning-s.UrgentPlaces)
+}
+
 // Start pins the adapter and counts the request as running.
 func (s *Site) Start(it *Item, now ident.Time) {
 	s.Remove(it.ID)
 	it.Running = true
 	it.Started = now
 	s.Running++
+	if it.Urgency == work.Bulk {
+		s.BulkRunning++
+	}
 	if slot := s.Slots[it.Model]; slot != nil {
 		it.slot = slot
+		slot.Bulk = slot.Bulk && it.Urgency == work.Bulk
 		slot.Pins++
 		slot.LastUse = now
 	}
@@ -139,6 +166,9 @@
 func (s *Site) End(it *Item, now ident.Time) {
 	it.Running = false
 	s.Running--
+	if it.Urgency == work.Bulk {
+		s.BulkRunning--
+	}
 	if it.slot != nil {
 		it.slot.Pins--
 		it.slot.LastUse = now
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -14,7 +14,7 @@
 // newSite returns an engine's site with slots for n adapters.
 func newSite(n int) *Site {
 	e := lease.Endpoint{ID: "e1", Kind: lease.Engine, Slots: n, MaxRunning: 4}
-	return NewSite(lease.Owned{Endpoint: e, Owner: "h1", Fence: 1}, 0, 0)
+	return NewSite(lease.Owned{Endpoint: e, Owner: "h1", Fence: 1}, Policy{}, 0, 0)
 }
 
 func model(name string) ident.Model { return ident.Model{Adapter: ident.Adapter(name), Version: "v1"} }
@@ -36,6 +36,6 @@
 	s.Start(next, 2)
 	s.End(cut, 3)
 	assert.Equal(t, s.Slots[model("a")].Pins, 1)
-	_, ok := s.Room(4)
+	_, ok := s.Room(work.Normal, 4)
 	assert.Assert(t, !ok, "the adapter of a running request could be evicted")
 }
--- a/core/world/loads.go
+++ b/core/world/loads.go
@@ -12,7 +12,7 @@
 		w.returnGrant(g)
 		return
 	}
-	evict, ok := site.Room(w.now)
+	evict, ok := site.Room(site.Urgency(g.Model), w.now)
 	if !ok {
 		w.returnGrant(g)
 		return
@@ -20,7 +20,7 @@
 	if evict != nil {
 		delete(site.Slots, *evict)
 	}
-	site.Slots[g.Model] = &place.Slot{Model: g.Model, Loading: true, LastUse: w.now}
+	site.Slots[g.Model] = &place.Slot{Model: g.Model, Loading: true, LastUse: w.now, Bulk: site.Urgency(g.Model) == work.Bulk}
 	w.emit(Effect{Load: &Load{Endpoint: site.Owned, Model: g.Model, Evict: evict, Until: w.holder.Until()}})
 }
 
--- a/core/world/own.go
+++ b/core/world/own.go
@@ -42,7 +42,7 @@
 
 // takeSite starts to own an endpoint. What it holds is read before the first order.
 func (w *World) takeSite(e lease.Owned) {
-	site := place.NewSite(e, w.now, w.now.Add(w.Params.LongestRequest))
+	site := place.NewSite(e, w.Params.Policy, w.now, w.now.Add(w.Params.LongestRequest))
 	w.sites[e.ID] = site
 	if e.Kind == lease.Engine {
 		w.emit(Effect{Inspect: &Inspect{Endpoint: e}})
@@ -115,6 +115,7 @@
 	for _, id := range sortedKeys(w.sites) {
 		site := w.sites[id]
 		w.checkSilence(site)
+		site.Turns(w.now)
 		wants = append(wants, site.Wants(w.now)...)
 		if site.Running == 0 && len(site.Queue) == 0 && w.state.Stops.Stopping(drain.Host, string(w.Self)) {
 			a := lease.Assign{Endpoint: id, From: site.Fence}
--- a/core/world/serve.go
+++ b/core/world/serve.go
@@ -47,6 +47,7 @@
 		return
 	}
 	w.forwards[a.Request.ID] = forwarded{request: a.Request, to: c.Owner}
+	w.noteSent(c.Endpoint)
 	w.emit(Effect{Forward: &Forward{Request: a.Request, To: c.Owner, Endpoint: c.Endpoint}})
 }
 
@@ -77,7 +78,7 @@
 		c, ok := route.LeastLoaded(list)
 		return c, route.ByLoad, ok
 	}
-	return route.Choose(r.Model, list)
+	return route.Choose(r.Model, list, w.Params.Routing)
 }
 
 func (w *World) candidates(r work.Request) []route.Candidate {
@@ -114,6 +115,10 @@
 	for _, x := range rep.Loading {
 		c.Loading = c.Loading || x == m
 	}
+	for _, x := range rep.Waiting {
+		c.Waiting = c.Waiting || x == m
+	}
+	c.Sent = w.sentLately(e.ID)
 	return c
 }
 
@@ -124,12 +129,18 @@
 		w.refuse(r.ID, from, work.Refusal{Outcome: work.NotRun, Reason: work.NotOwner, Step: "queue", RetryAfter: RetryLater})
 		return
 	}
-	it := &place.Item{Request: r, From: from, Endpoint: e, Arrived: w.now, Deadline: w.now.Add(r.Left)}
+	it := &place.Item{Request: r, From: from, Endpoint: e, Arrived: w.now, Deadline: w.now.Add(r.Left), Weight: w.weightOf(r)}
 	w.items[r.ID] = it
 	site.Add(it)
 	w.note(r.ID, "queue", fmt.Sprintf("%d waiting, %d running", len(site.Queue)-1, site.Running), string(e))
 }
 
+// weightOf returns the weight of the request's row; 0 for a plain service, which has none.
+func (w *World) weightOf(r work.Request) uint32 {
+	row, _ := w.state.Rows.Get(rows.KeyOf(r.Workspace, r.Model.Adapter))
+	return row.Weight
+}
+
 // refuse gives a request its final answer.
 func (w *World) refuse(id ident.RequestID, to ident.HostID, r work.Refusal) {
 	delete(w.forwards, id)
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -14,6 +14,7 @@
 	"shallotgap/core/lease"
 	"shallotgap/core/place"
 	"shallotgap/core/quorum"
+	"shallotgap/core/route"
 	"shallotgap/core/state"
 	"shallotgap/core/wire"
 )
@@ -56,8 +57,12 @@
 	LongestRequest time.Duration
 	StoreRate      float64 // loads a second
 	StoreInFlight  int     // loads at once
-	KeyLife        time.Duration
-	CompactAfter   int // log entries between snapshots
+	// Policy weighs load stalls against batch efficiency.
+	Policy place.Policy
+	// Routing is the setting of the choice of endpoints.
+	Routing      route.Policy
+	KeyLife      time.Duration
+	CompactAfter int // log entries between snapshots
 }
 
 // Defaults returns the parameters that hold where the settings name none.
@@ -75,6 +80,8 @@
 		LongestRequest:  10 * time.Minute,
 		StoreRate:       2,
 		StoreInFlight:   8,
+		Policy:          place.DefaultPolicy(),
+		Routing:         route.DefaultPolicy(),
 		KeyLife:         24 * time.Hour,
 		CompactAfter:    4096,
 	}
@@ -112,6 +119,7 @@
 	forwards   map[ident.RequestID]forwarded
 	reports    map[ident.EndpointID]place.Report
 	reportAt   ident.Time
+	sending    map[ident.EndpointID]sending
 	sent       map[ident.EndpointID]string
 }
 
@@ -137,6 +145,7 @@
 		forwards: map[ident.RequestID]forwarded{},
 		reports:  map[ident.EndpointID]place.Report{},
 		sent:     map[ident.EndpointID]string{},
+		sending:  map[ident.EndpointID]sending{},
 	}
 	if c.Stored == nil {
 		return w, nil
