--- a/core/place/place.go
+++ b/core/place/place.go
@@ -20,6 +20,9 @@
 	Bulk bool
 	// Closed slots start no further requests, so that another adapter gets its turn.
 	Closed bool
+	// GrantedAt and ResidentAt are when the load began and ended; 0 when the adapter was found resident.
+	GrantedAt  ident.Time
+	ResidentAt ident.Time
 }
 
 // Site is an owned endpoint with what its owner knows of it.
--- a/core/world/loads.go
+++ b/core/world/loads.go
@@ -20,7 +20,8 @@
 	if evict != nil {
 		delete(site.Slots, *evict)
 	}
-	site.Slots[g.Model] = &place.Slot{Model: g.Model, Loading: true, LastUse: w.now, Bulk: site.Urgency(g.Model) == work.Bulk}
+	bulk := site.Urgency(g.Model) == work.Bulk
+	site.Slots[g.Model] = &place.Slot{Model: g.Model, Loading: true, LastUse: w.now, Bulk: bulk, GrantedAt: w.now}
 	w.emit(Effect{Load: &Load{Endpoint: site.Owned, Model: g.Model, Evict: evict, Until: w.holder.Until()}})
 }
 
@@ -42,6 +43,7 @@
 	}
 	if l.Err == "" {
 		slot.Loading = false
+		slot.ResidentAt = w.now
 		return
 	}
 	delete(site.Slots, l.Model)
