--- a/core/route/route.go
+++ b/core/route/route.go
@@ -120,8 +120,8 @@
 	return homes
 }
 
-// insert keeps the n candidates with the largest scores, largest first.
-func insert(homes []Candidate, scores []uint64, c Candidate, score uint64, n int) ([]Candidate, []uint64) {
+// insert keeps the n items with the largest scores, largest first.
+func insert[T any](homes []T, scores []uint64, c T, score uint64, n int) ([]T, []uint64) {
 	at := len(homes)
 	for at > 0 && scores[at-1] < score {
 		at--
@@ -129,7 +129,7 @@
 	if at >= n {
 		return homes, scores
 	}
-	homes = append(homes, Candidate{})
+	homes = append(homes, c)
 	scores = append(scores, 0)
 	copy(homes[at+1:], homes[at:])
 	copy(scores[at+1:], scores[at:])
--- a/core/world/report.go
+++ b/core/world/report.go
@@ -35,7 +35,9 @@
 func (w *World) takeReports(list []place.Report) {
 	for _, r := range list {
 		if r.Fence >= w.reports[r.Endpoint].Fence {
+			w.unlistHolder(w.reports[r.Endpoint])
 			w.reports[r.Endpoint] = r
+			w.listHolder(r)
 		}
 	}
 }
--- a/core/world/serve.go
+++ b/core/world/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"shallotgap/core/ident"
@@ -88,21 +89,25 @@
 
 // choose returns the endpoint for a request and why.
 func (w *World) choose(r work.Request) (route.Candidate, route.Cause, bool) {
-	list := w.candidates(r)
 	if r.Service != "" {
-		c, ok := route.LeastLoaded(list)
+		c, ok := route.LeastLoaded(w.candidates(r, w.index().plains[r.Service]))
 		return c, route.ByLoad, ok
 	}
-	return route.Choose(r.Model, list, w.Params.Routing)
+	committed := w.holders(r.Model)
+	homes := w.index().homes.Rank(r.Model.Adapter, w.Params.Routing.Choices, func(id ident.EndpointID) bool {
+		e, ok := w.state.Owners.Get(id)
+		return ok && w.takes(e, r) && !slices.Contains(committed, id)
+	})
+	return route.Choose(r.Model, w.candidates(r, append(committed, homes...)), w.Params.Routing)
 }
 
-func (w *World) candidates(r work.Request) []route.Candidate {
-	var list []route.Candidate
-	for _, e := range w.state.Owners.List() {
-		if !w.takes(e, r) {
-			continue
+// candidates returns those of the endpoints that take the request, with what is known of their load.
+func (w *World) candidates(r work.Request, endpoints []ident.EndpointID) []route.Candidate {
+	list := make([]route.Candidate, 0, len(endpoints))
+	for _, id := range endpoints {
+		if e, ok := w.state.Owners.Get(id); ok && w.takes(e, r) {
+			list = append(list, w.candidate(e, r.Model))
 		}
-		list = append(list, w.candidate(e, r.Model))
 	}
 	return list
 }
@@ -119,21 +124,17 @@
 }
 
 func (w *World) candidate(e lease.Owned, m ident.Model) route.Candidate {
-	rep := w.reports[e.ID]
+	c := route.Candidate{Endpoint: e.ID, Owner: e.Owner, MaxRunning: e.MaxRunning}
 	if site := w.sites[e.ID]; site != nil {
-		rep = site.Report()
-	}
-	c := route.Candidate{Endpoint: e.ID, Owner: e.Owner, Running: rep.Running, Queued: rep.Queued, MaxRunning: e.MaxRunning}
-	for _, x := range rep.Resident {
-		c.Resident = c.Resident || x == m
-	}
-	for _, x := range rep.Loading {
-		c.Loading = c.Loading || x == m
+		c.Running, c.Queued = site.Running, len(site.Queue)
+		c.Resident, c.Loading, c.Waiting = site.Standing(m)
+		return c
 	}
-	for _, x := range rep.Waiting {
-		c.Waiting = c.Waiting || x == m
-	}
-	c.Sent = w.sentLately(e.ID)
+	rep := w.reports[e.ID]
+	c.Running, c.Queued, c.Sent = rep.Running, rep.Queued, w.sentLately(e.ID)
+	c.Resident = slices.Contains(rep.Resident, m)
+	c.Loading = slices.Contains(rep.Loading, m)
+	c.Waiting = slices.Contains(rep.Waiting, m)
 	return c
 }
 
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -128,10 +128,13 @@
 	// open is the number of callers' requests at this host.
 	open int
 	// left and taken are the endpoints whose work is handed over; stray are the requests that run at endpoints given up.
-	left     map[ident.EndpointID]*leftSite
-	taken    map[ident.EndpointID]*takenSite
-	stray    map[ident.RequestID]bool
-	reports  map[ident.EndpointID]place.Report
+	left    map[ident.EndpointID]*leftSite
+	taken   map[ident.EndpointID]*takenSite
+	stray   map[ident.RequestID]bool
+	reports map[ident.EndpointID]place.Report
+	// holding are the endpoints of other hosts that have an adapter or will have it, by their reports.
+	holding  map[ident.Model][]ident.EndpointID
+	routes   *routeIndex
 	reportAt ident.Time
 	sending  map[ident.EndpointID]sending
 	sent     map[ident.EndpointID]string
@@ -151,6 +154,7 @@
 		items:    map[ident.RequestID]*place.Item{},
 		forwards: map[ident.RequestID]forwarded{},
 		reports:  map[ident.EndpointID]place.Report{},
+		holding:  map[ident.Model][]ident.EndpointID{},
 		sent:     map[ident.EndpointID]string{},
 		left:     map[ident.EndpointID]*leftSite{},
 		taken:    map[ident.EndpointID]*takenSite{},
