Send an adapter's requests only to engines of its base model

Cause: the aim has four base models; a row could not name one, so an adapter could be loaded into an engine of another. Ruled out: deriving it from a failed load (each costs a load of the store). Change: a row may name its base model; routing and homes pass over engines of others. Conclusion: rows without a base model go to any engine, as before.

--- a/core/rows/rows.go
+++ b/core/rows/rows.go
@@ -22,6 +22,8 @@
 	// Version is the version in force; Previous stays callable while callers move on.
 	Version  ident.Version `json:"version"`
 	Previous ident.Version `json:"previous,omitempty"`
+	// Base is the base model that the adapter belongs to; empty where all engines run the same one.
+	Base ident.Service `json:"base,omitempty"`
 	// Weight is the share against other workspaces; at least 1.
 	Weight uint32 `json:"weight"`
 	// MaxRunning limits the requests running at once; 0 means no limit.
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -26,6 +26,8 @@
 	Service ident.Service `json:"service,omitempty"`
 	// Model is the adapter and version of a model request.
 	Model ident.Model `json:"model,omitempty"`
+	// Base is the base model that the adapter's row names; empty for any.
+	Base ident.Service `json:"base,omitempty"`
 	// Key is set for a request that must run at most once.
 	Key    ident.Key    `json:"key,omitempty"`
 	Digest claim.Digest `json:"digest,omitempty"`
--- a/core/world/serve.go
+++ b/core/world/serve.go
@@ -89,6 +89,7 @@
 
 // choose returns the endpoint for a request and why.
 func (w *World) choose(r work.Request) (route.Candidate, route.Cause, bool) {
+	r.Base = w.baseOf(r)
 	if r.Service != "" {
 		c, ok := route.LeastLoaded(w.candidates(r, w.index().plains[r.Service]))
 		return c, route.ByLoad, ok
@@ -101,6 +102,12 @@
 	return route.Choose(r.Model, w.candidates(r, append(committed, homes...)), w.Params.Routing)
 }
 
+// baseOf returns the base model that the request's row names.
+func (w *World) baseOf(r work.Request) ident.Service {
+	row, _ := w.state.Rows.Get(rows.KeyOf(r.Workspace, r.Model.Adapter))
+	return row.Base
+}
+
 // candidates returns those of the endpoints that take the request, with what is known of their load.
 func (w *World) candidates(r work.Request, endpoints []ident.EndpointID) []route.Candidate {
 	list := make([]route.Candidate, 0, len(endpoints))
@@ -120,7 +127,7 @@
 	if r.Service != "" {
 		return e.Kind == lease.Plain && e.Service == r.Service
 	}
-	return e.Kind == lease.Engine
+	return e.Kind == lease.Engine && (r.Base == "" || r.Base == e.Service)
 }
 
 func (w *World) candidate(e lease.Owned, m ident.Model) route.Candidate {
