--- a/io/entry/watch.go
+++ b/io/entry/watch.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"shallotgap/core/burn"
+	"shallotgap/core/claim"
 	"shallotgap/core/ident"
 	"shallotgap/core/work"
 	"shallotgap/io/metric"
@@ -79,6 +80,10 @@
 }
 
 func (w *watch) refused(r work.Refusal) {
+	if r.Record != nil && r.Record.State == claim.Done {
+		w.meter.Count("shallotgap_requests_total", "outcome", "replayed", "reason", "")
+		return
+	}
 	w.meter.Count("shallotgap_requests_total", "outcome", string(r.Outcome), "reason", string(r.Reason))
 	if r.Record != nil || callersOwn[r.Reason] {
 		return
