--- a/core/world/dispatch.go
+++ b/core/world/dispatch.go
@@ -17,10 +17,7 @@
 }
 
 func (w *World) dispatchSite(site *place.Site) {
-	for _, it := range append([]*place.Item(nil), site.Queue...) {
-		if !site.Ready(it) || it.Claiming {
-			continue
-		}
+	for it := site.Next(w.may); it != nil; it = site.Next(w.may) {
 		if it.Once() && !it.Claimed {
 			w.openClaim(it)
 			continue
@@ -29,6 +26,9 @@
 	}
 }
 
+// may reports whether limits let a waiting request run now.
+func (w *World) may(*place.Item) bool { return true }
+
 func (w *World) start(site *place.Site, it *place.Item) {
 	waited := site.Waited(it, w.now)
 	site.Start(it, w.now)
@@ -46,7 +46,7 @@
 	}
 	w.drop(it)
 	if it.Claimed {
-		w.closeClaim(it, claim.Released, nil)
+		w.closeClaim(openOf(it), claim.Released, nil)
 	}
 	w.refuse(it.ID, it.From, r)
 }
@@ -63,7 +63,7 @@
 	delete(w.items, e.ID)
 	w.note(e.ID, "answer", string(e.State)+" "+e.Detail, string(it.Endpoint))
 	if it.Once() {
-		w.closeClaim(it, claimState(e.State), e.Answer)
+		w.closeClaim(openOf(it), claimState(e.State), e.Answer)
 	}
 	if e.State == work.Answered {
 		return
--- a/core/world/own.go
+++ b/core/world/own.go
@@ -2,7 +2,6 @@
 
 import (
 	"shallotgap/core/drain"
-	"shallotgap/core/ident"
 	"shallotgap/core/lease"
 	"shallotgap/core/place"
 	"shallotgap/core/state"
@@ -30,7 +29,7 @@
 			continue
 		}
 		if e.Instance != site.Instance {
-			site.Slots = map[ident.Model]*place.Slot{}
+			site.Restarted()
 		}
 		site.Endpoint = e.Endpoint
 	}
@@ -55,9 +54,7 @@
 // loseSite refuses what waits; what runs goes on and ends by itself.
 func (w *World) loseSite(site *place.Site) {
 	for _, it := range append([]*place.Item(nil), site.Queue...) {
-		if !it.Claiming {
-			w.giveUp(it, work.Refusal{Outcome: work.NotRun, Reason: work.NotOwner, Step: "queue", Peer: string(site.ID), RetryAfter: RetryLater})
-		}
+		w.giveUp(it, work.Refusal{Outcome: work.NotRun, Reason: work.NotOwner, Step: "queue", Peer: string(site.ID), RetryAfter: RetryLater})
 	}
 	delete(w.sites, site.ID)
 }
@@ -86,7 +83,7 @@
 		return
 	}
 	site.Heard = w.now
-	d := state.Depart{Endpoint: site.ID, Instance: site.Instance}
+	d := state.Depart{Endpoint: site.ID, Instance: site.Instance, Fence: site.Fence}
 	w.propose(state.Command{Depart: &d}, purpose{})
 }
 
@@ -116,7 +113,7 @@
 	for _, id := range sortedKeys(w.sites) {
 		site := w.sites[id]
 		w.checkSilence(site)
-		wants = append(wants, w.wants(site)...)
+		wants = append(wants, site.Wants(w.now)...)
 		if site.Running == 0 && len(site.Queue) == 0 && w.state.Stops.Stopping(drain.Host, string(w.Self)) {
 			a := lease.Assign{Endpoint: id, From: site.Fence}
 			w.propose(state.Command{Assign: &a}, purpose{})
