--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 
 	"shallotgap/core/drain"
 	"shallotgap/core/ident"
@@ -57,22 +58,40 @@
 type Table struct {
 	Index ident.Index `json:"index"`
 	Rows  []rows.Row  `json:"rows"`
+	// Next is the last key of this page if there are more rows.
+	Next rows.RowKey `json:"next,omitempty"`
 }
 
-// table serves GET /admin/table?key=WORKSPACE/ADAPTER; without a key it gives all rows.
+// table serves GET /admin/table?key=WORKSPACE/ADAPTER, or the rows that workspace, find, after and limit select.
 func (s *Server) table(w http.ResponseWriter, r *http.Request) {
 	key := rows.RowKey(r.URL.Query().Get("key"))
+	q := queryOf(r)
 	out := Table{Rows: []rows.Row{}}
 	s.view(w, r, &out, func(v *world.World) {
 		out.Index = v.State().Applied
-		if key == "" {
-			out.Rows = append(out.Rows, v.State().Rows.List()...)
-		} else if row, ok := v.State().Rows.Get(key); ok {
-			out.Rows = append(out.Rows, row)
+		if key != "" {
+			if row, ok := v.State().Rows.Get(key); ok {
+				out.Rows = append(out.Rows, row)
+			}
+			return
 		}
+		list, next := v.State().Rows.Search(q)
+		out.Rows, out.Next = append(out.Rows, list...), next
 	})
 }
 
+// queryOf reads which rows are wanted; a limit that is no number counts as none.
+func queryOf(r *http.Request) rows.Query {
+	v := r.URL.Query()
+	limit, _ := strconv.Atoi(v.Get("limit"))
+	return rows.Query{
+		Workspace: ident.Workspace(v.Get("workspace")),
+		Text:      v.Get("find"),
+		After:     rows.RowKey(v.Get("after")),
+		Limit:     limit,
+	}
+}
+
 // history serves GET /admin/history?key=WORKSPACE/ADAPTER, oldest change first.
 func (s *Server) history(w http.ResponseWriter, r *http.Request) {
 	key := rows.RowKey(r.URL.Query().Get("key"))
--- a/io/admin/page.go
+++ b/io/admin/page.go
@@ -34,6 +34,8 @@
 	Leader    ident.HostID
 	Index     ident.Index
 	Rows      []rows.Row
+	Find      string
+	Next      rows.RowKey
 	Hosts     []hostLine
 	Endpoints []endpointLine
 	Done      string
@@ -41,6 +43,9 @@
 	Conflict  *conflictView
 }
 
+// pageRows is the largest number of rows on one page.
+const pageRows = 200
+
 type hostLine struct {
 	answered[Status]
 	Stop *drain.Stop
@@ -73,9 +78,11 @@
 // show fills the view with the present state and writes the page.
 func (s *Server) show(w http.ResponseWriter, r *http.Request, status int, v pageView) {
 	var o world.Overview
+	q := queryOf(r)
+	q.Limit, v.Find = pageRows, q.Text
 	err := s.host.View(r.Context(), func(x *world.World) {
 		o = x.Overview()
-		v.Rows = x.State().Rows.List()
+		v.Rows, v.Next = x.State().Rows.Search(q)
 	})
 	if err != nil {
 		return
--- a/io/cmds/sheet.go
+++ b/io/cmds/sheet.go
@@ -1,7 +1,6 @@
 package cmds
 
 import (
-	"crypto/rand"
 	"encoding/csv"
 	"fmt"
 	"io"
@@ -11,19 +10,19 @@
 
 	"shallotgap/core/ident"
 	"shallotgap/core/rows"
-	"shallotgap/io/admin"
 	"shallotgap/io/texts"
 )
 
-// TableExport writes all rows as CSV.
+// TableExport writes rows as CSV.
 type TableExport struct {
 	Remote
+	Selecting
 }
 
 // Run writes the rows; the row-version column lets an import notice changes made meanwhile.
 func (c *TableExport) Run(env *Env) error {
-	var t admin.Table
-	if err := c.get(env.Context, "/admin/table", &t); err != nil {
+	t, err := c.rows(env, c.Selecting)
+	if err != nil {
 		return err
 	}
 	if c.JSON {
@@ -54,6 +53,7 @@
 		return nil, fmt.Errorf("read the header: %w", err)
 	}
 	var list []line
+	seen := map[rows.RowKey]int{}
 	for {
 		record, err := r.Read()
 		if err == io.EOF {
@@ -67,6 +67,11 @@
 		if err != nil {
 			return nil, fmt.Errorf("line %d: %w", number, err)
 		}
+		key := rows.KeyOf(l.row.Workspace, l.row.Adapter)
+		if first, twice := seen[key]; twice {
+			return nil, fmt.Errorf("line %d: row %s stands in line %d as well", number, key, first)
+		}
+		seen[key] = number
 		l.number = number
 		list = append(list, l)
 	}
@@ -126,8 +131,8 @@
 
 // sheet reads a CSV file ("-" for standard input) and the rows in force.
 func sheet(env *Env, r Remote, file string) ([]line, map[rows.RowKey]rows.Row, error) {
-	var t admin.Table
-	if err := r.get(env.Context, "/admin/table", &t); err != nil {
+	t, err := r.rows(env, Selecting{})
+	if err != nil {
 		return nil, nil, err
 	}
 	old := map[rows.RowKey]rows.Row{}
@@ -157,94 +162,6 @@
 	return next == old
 }
 
-// TableImport adds and changes rows from CSV.
-type TableImport struct {
-	Remote
-	Spread
-	File   string       `arg:"" help:"CSV file with a header, or - for standard input."`
-	EditID ident.EditID `help:"Start of the edit ids; send an import whose answer was lost again with the same one." name:"edit-id"`
-}
-
-// importResult counts how the changed lines ended.
-type importResult struct {
-	EditID    ident.EditID  `json:"edit-id"`
-	Accepted  int           `json:"accepted"`
-	Unchanged int           `json:"unchanged"`
-	Conflicts []rows.RowKey `json:"conflicts"`
-	Refused   []rows.RowKey `json:"refused"`
-	Index     ident.Index   `json:"index"`
-}
-
-// Run sends one edit for each changed line.
-func (c *TableImport) Run(env *Env) error {
-	list, old, err := sheet(env, c.Remote, c.File)
-	if err != nil {
-		return err
-	}
-	if c.EditID == "" {
-		c.EditID = ident.EditID(rand.Text())
-		_, _ = fmt.Fprintf(env.Err, texts.ImportID, c.EditID, c.EditID)
-	}
-	sum := importResult{EditID: c.EditID, Conflicts: []rows.RowKey{}, Refused: []rows.RowKey{}}
-	for _, l := range list {
-		if err := c.line(env, l, old, &sum); err != nil {
-			return err
-		}
-	}
-	if err := c.print(env, sum); err != nil {
-		return err
-	}
-	return c.await(env, c.Remote, sum.Index)
-}
-
-func (c *TableImport) line(env *Env, l line, old map[rows.RowKey]rows.Row, sum *importResult) error {
-	key := rows.KeyOf(l.row.Workspace, l.row.Adapter)
-	if l.same(old[key]) {
-		sum.Unchanged++
-		return nil
-	}
-	e := rows.Edit{ID: ident.EditID(fmt.Sprintf("%s-%d", c.EditID, l.number)), Key: key, From: old[key].RowVersion, Row: &l.row}
-	if l.pinned {
-		e.From = l.row.RowVersion
-	}
-	res, err := c.send(env, e)
-	if err != nil {
-		return err
-	}
-	switch res.Verdict {
-	case rows.Accepted:
-		sum.Accepted++
-		sum.Index = max(sum.Index, res.Index)
-	case rows.Conflict:
-		sum.Conflicts = append(sum.Conflicts, key)
-	default:
-		sum.Refused = append(sum.Refused, key)
-	}
-	if err := verdict(env, c.Remote, e, res); err != nil {
-		_, _ = fmt.Fprintf(env.Err, "line %d: %v\n", l.number, err)
-	}
-	return nil
-}
-
-func (c *TableImport) print(env *Env, sum importResult) error {
-	if c.JSON {
-		if err := printJSON(env.Out, sum); err != nil {
-			return err
-		}
-	} else {
-		_, _ = fmt.Fprintf(env.Out, texts.Imported, sum.Accepted, sum.Unchanged, len(sum.Conflicts), len(sum.Refused))
-	}
-	bad := len(sum.Conflicts) + len(sum.Refused)
-	if bad == 0 {
-		return nil
-	}
-	code := Refused
-	if len(sum.Conflicts) > 0 {
-		code = Conflict
-	}
-	return coded(code, fmt.Errorf(texts.ImportBad, bad, bad+sum.Accepted))
-}
-
 // TableDiff shows what an import would change.
 type TableDiff struct {
 	Remote
--- a/io/cmds/table.go
+++ b/io/cmds/table.go
@@ -50,15 +50,43 @@
 	return w.Flush()
 }
 
+// Selecting are the flags that select rows.
+type Selecting struct {
+	Workspace ident.Workspace `help:"Only rows of this workspace."`
+	Find      string          `help:"Only rows with this text in workspace, adapter or version."`
+}
+
+// pageRows is the number of rows that one call reads, so that no host is held up by a large table.
+const pageRows = 2000
+
+// rows reads the selected rows, page by page.
+func (r Remote) rows(env *Env, s Selecting) (admin.Table, error) {
+	all := admin.Table{Rows: []rows.Row{}}
+	q := url.Values{"workspace": {string(s.Workspace)}, "find": {s.Find}, "limit": {strconv.Itoa(pageRows)}}
+	for {
+		var page admin.Table
+		if err := r.get(env.Context, "/admin/table?"+q.Encode(), &page); err != nil {
+			return all, err
+		}
+		all.Index = page.Index
+		all.Rows = append(all.Rows, page.Rows...)
+		if page.Next == "" {
+			return all, nil
+		}
+		q.Set("after", string(page.Next))
+	}
+}
+
 // TableList lists the rows.
 type TableList struct {
 	Remote
+	Selecting
 }
 
 // Run lists the rows.
 func (c *TableList) Run(env *Env) error {
-	var t admin.Table
-	if err := c.get(env.Context, "/admin/table", &t); err != nil {
+	t, err := c.rows(env, c.Selecting)
+	if err != nil {
 		return err
 	}
 	if c.JSON {
--- a/scene/operators_table_test.go
+++ b/scene/operators_table_test.go
@@ -72,6 +72,7 @@
 		{"one line edited", strings.ReplaceAll(exported, "udder,v1", "udder,v2"), "1 accepted, 1 unchanged", cmds.OK},
 		{"stale copy", strings.ReplaceAll(exported, "udder,v1", "udder,v3"), "0 accepted, 1 unchanged, 1 in conflict", cmds.Conflict},
 		{"bad weight", "workspace,adapter,version,weight\ndairy,udder,v9,0\n", "1 refused", cmds.Refused},
+		{"a row twice", "workspace,adapter,version\ndairy,a,v1\ndairy,a,v2\n", "line 3: row dairy/a stands in line 2", cmds.Usage},
 		{"no number", "workspace,adapter,version,weight\ndairy,udder,v9,many\n", "line 2: column weight", cmds.Usage},
 	}
 	for _, s := range steps {
