--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -53,6 +53,8 @@
 	Digest  Digest          `json:"digest"`
 	Request ident.RequestID `json:"request"`
 	Holder  Holder          `json:"holder"`
+	// Try counts how often the request was sent back to its entry host and routed again.
+	Try uint32 `json:"try,omitempty"`
 	// Ends is the wall-clock second (Unix) from which the request may not be claimed, and after which an open
 	// claim counts as in doubt; 0 for never.
 	Ends int64 `json:"ends,omitempty"`
@@ -64,8 +66,10 @@
 type Close struct {
 	Name
 	Request ident.RequestID `json:"request"`
-	State   State           `json:"state"`
-	Answer  *Answer         `json:"answer,omitempty"`
+	// Holder is the run that held the claim: the same request may have been claimed again by another host.
+	Holder Holder  `json:"holder"`
+	State  State   `json:"state"`
+	Answer *Answer `json:"answer,omitempty"`
 }
 
 // Abandon turns all open claims of a host's earlier runs into in-doubt ones.
@@ -120,17 +124,17 @@
 // Len returns the number of records.
 func (b *Book) Len() int { return len(b.records) }
 
-// Open grants the claim unless the key has been used; a released one may be claimed again by another request.
-// A resent Open of the request that released it finds the released record: nobody waits for its claim any more.
+// Open grants the claim unless the key has been used; a released one may be claimed again by another request, or by a
+// later try of the same one. A resent Open of a try that was released finds the released record: nobody waits for it.
 func (b *Book) Open(o Open) Result {
 	if r, ok := b.records[o.Name]; ok {
 		if r.Digest != o.Digest {
 			return Result{Mismatch: true}
 		}
-		if r.Request == o.Request && r.State == Claimed {
+		if r.Request == o.Request && r.Try == o.Try && r.Holder == o.Holder && r.State == Claimed {
 			return Result{Granted: true}
 		}
-		if r.State != Released || r.Request == o.Request {
+		if r.State != Released || (r.Request == o.Request && o.Try <= r.Try) {
 			found := *r
 			return Result{Record: &found}
 		}
@@ -146,7 +150,7 @@
 // still be settled by its holder: it alone knows that nothing was sent, or what the endpoint answered.
 func (b *Book) Close(c Close) bool {
 	r, ok := b.records[c.Name]
-	if !ok || r.Request != c.Request || (r.State != Claimed && r.State != InDoubt) {
+	if !ok || r.Request != c.Request || r.Holder != c.Holder || (r.State != Claimed && r.State != InDoubt) {
 		return false
 	}
 	r.State = c.State
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -77,6 +77,9 @@
 	s.groups[it.Model] = slices.Insert(group, at, it)
 }
 
+// Holds reports whether the request waits here.
+func (s *Site) Holds(it *Item) bool { return slices.Contains(s.Queue, it) }
+
 // Remove takes a request out of the queue.
 func (s *Site) Remove(id ident.RequestID) {
 	i := slices.IndexFunc(s.Queue, func(it *Item) bool { return it.ID == id })
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -85,10 +85,10 @@
 	case c.Assign != nil:
 		s.Owners.Assign(i, *c.Assign)
 	case c.Mark != nil:
-		r := s.Stops.Mark(*c.Mark)
+		r := s.Stops.Mark(*c.Mark, c.Wall, s.Owners)
 		res.Mark = &r
 	case c.Progress != nil:
-		s.Stops.Advance(*c.Progress)
+		s.Stops.Advance(i, *c.Progress, c.Wall, s.Owners)
 	default:
 		s.applyClaim(c, &res)
 	}
@@ -134,7 +134,7 @@
 	Rows    rows.Snapshot  `json:"rows"`
 	Owners  []lease.Owned  `json:"owners"`
 	Gone    []lease.Owned  `json:"gone,omitempty"`
-	Stops   []drain.Stop   `json:"stops"`
+	Stops   drain.Snapshot `json:"stops"`
 	Claims  []claim.Record `json:"claims,omitempty"`
 	// Clock is the latest wall-clock second (Unix) by which claims expired.
 	Clock int64 `json:"clock,omitempty"`
@@ -142,7 +142,7 @@
 
 // Snapshot returns a copy of the state; voters get all of it, other hosts neither claims nor the results of edits.
 func (s *State) Snapshot(voter bool) Snapshot {
-	snap := Snapshot{Applied: s.Applied, Rows: s.Rows.Snapshot(voter), Owners: s.Owners.List(), Gone: s.Owners.ListGone(), Stops: s.Stops.List()}
+	snap := Snapshot{Applied: s.Applied, Rows: s.Rows.Snapshot(voter), Owners: s.Owners.List(), Gone: s.Owners.ListGone(), Stops: s.Stops.Snapshot()}
 	if voter {
 		snap.Claims = s.Claims.List()
 		snap.Clock = s.Claims.Clock()
--- a/core/world/once.go
+++ b/core/world/once.go
@@ -16,6 +16,7 @@
 		Name:    it.Name(),
 		Digest:  it.Digest,
 		Request: it.ID,
+		Try:     it.Try,
 		Holder:  claim.Holder{Host: w.Self, Incarnation: w.Incarnation},
 		Ends:    claimEnds(it.Request),
 		Expires: max(it.KeyEnds, w.wall+int64(w.Params.KeyLife.Seconds())),
@@ -59,6 +60,9 @@
 	if res.Claim.Granted {
 		it.Claimed = true
 		w.note(o.Request, "claim", "committed by a majority", "")
+		if site := w.sites[it.Endpoint]; site == nil || !site.Holds(it) {
+			w.sendBack(it, work.NotOwner)
+		}
 		return
 	}
 	w.drop(it)
@@ -85,12 +89,16 @@
 
 // closeClaim records an outcome; the proposal is repeated until a leader answers it.
 func (w *World) closeClaim(o claim.Open, s claim.State, a *claim.Answer) {
-	c := claim.Close{Name: o.Name, Request: o.Request, State: s, Answer: a}
-	w.propose(state.Command{Close: &c}, purpose{})
+	w.propose(w.closing(o, s, a), purpose{})
+}
+
+func (w *World) closing(o claim.Open, s claim.State, a *claim.Answer) state.Command {
+	holder := claim.Holder{Host: w.Self, Incarnation: w.Incarnation}
+	return state.Command{Close: &claim.Close{Name: o.Name, Request: o.Request, Holder: holder, State: s, Answer: a}}
 }
 
 func openOf(it *place.Item) claim.Open {
-	return claim.Open{Name: it.Name(), Request: it.ID}
+	return claim.Open{Name: it.Name(), Request: it.ID, Try: it.Try}
 }
 
 func claimState(s work.EndState) claim.State {
