Show dates and all targets of stops, explain loads, and check that every refusal has its words

Cause: after the stops' work, the command line and the page knew only hosts and endpoints and no end; explain had a gap between queue and dispatch while an adapter was loaded; five new reasons had no line for operators. Ruled out: a list of reasons kept by hand in the test (it would drift as the words did); it reads the constants from core/work/work.go. Tests for titles, causes and sentences.

--- a/core/world/loads.go
+++ b/core/world/loads.go
@@ -21,6 +21,7 @@
 		delete(site.Slots, *evict)
 	}
 	site.Slots[g.Model] = &place.Slot{Model: g.Model, Loading: true, LastUse: w.now, GrantedAt: w.now}
+	w.noteLoad(site, g.Model, grantCause(evict))
 	w.emit(Effect{Load: &Load{Endpoint: site.Owned, Model: g.Model, Evict: evict, Until: w.holder.Until()}})
 }
 
@@ -43,9 +44,11 @@
 	if l.Err == "" {
 		slot.Loading = false
 		slot.ResidentAt = w.now
+		w.noteLoad(site, l.Model, "done")
 		return
 	}
 	delete(site.Slots, l.Model)
+	w.noteLoad(site, l.Model, l.Err)
 	for _, it := range append([]*place.Item(nil), site.Queue...) {
 		if it.Model == l.Model {
 			w.giveUp(it, work.Refusal{Outcome: work.NotRun, Reason: work.LoadFailed, Step: "load", Peer: string(site.ID), RetryAfter: RetryLater})
--- a/io/admin/page.go
+++ b/io/admin/page.go
@@ -3,9 +3,11 @@
 import (
 	"crypto/rand"
 	"embed"
+	"errors"
 	"fmt"
 	"html/template"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -25,6 +27,7 @@
 var tablePage = template.Must(template.New("table.html").Funcs(template.FuncMap{
 	"phase": func(p drain.Phase) string { return texts.Phases[p] },
 	"start": texts.StopStart,
+	"until": texts.StopEnd,
 	"newID": func() string { return rand.Text() },
 }).ParseFS(pages, "pages/table.html"))
 
@@ -38,6 +41,7 @@
 	Next      rows.RowKey
 	Hosts     []hostLine
 	Endpoints []endpointLine
+	Stops     []drain.Stop
 	Done      string
 	Failed    string
 	Conflict  *conflictView
@@ -88,16 +92,13 @@
 		return
 	}
 	v.Host, v.Leader, v.Index = o.Host, o.Leader, o.Applied
-	stops := map[drain.StopID]*drain.Stop{}
-	for _, stop := range o.Stops {
-		stops[stop.ID()] = &stop
-	}
+	v.Stops = o.Stops
 	for _, a := range askHosts[Status](r, s.host.Settings.Hosts, "/admin/status") {
-		v.Hosts = append(v.Hosts, hostLine{answered: a, Stop: stops[drain.IDOf(drain.Host, string(a.Name))]})
+		v.Hosts = append(v.Hosts, hostLine{answered: a, Stop: stopOf(o.Stops, func(s drain.Stop) bool { return takesHost(s, a.Name) })})
 	}
 	for _, e := range o.Endpoints {
 		v.Endpoints = append(v.Endpoints, endpointLine{
-			ID: e.ID, Service: e.Service, Domain: e.Domain, Owner: e.Owner, Stop: stops[drain.IDOf(drain.Endpoint, string(e.ID))],
+			ID: e.ID, Service: e.Service, Domain: e.Domain, Owner: e.Owner, Stop: stopOf(o.Stops, func(s drain.Stop) bool { return s.TakesEndpoint(e.Endpoint) }),
 		})
 	}
 	w.Header().Set("Content-Type", "text/html; charset=utf-8")
@@ -108,6 +109,21 @@
 	}
 }
 
+// stopOf returns the first stop that takes a target, or nil.
+func stopOf(list []drain.Stop, takes func(drain.Stop) bool) *drain.Stop {
+	for _, s := range list {
+		if takes(s) {
+			return &s
+		}
+	}
+	return nil
+}
+
+// takesHost also knows a stop whose drain has not started and which names the host itself.
+func takesHost(s drain.Stop, h ident.HostID) bool {
+	return s.TakesHost(h) || s.ID() == drain.IDOf(drain.Host, string(h))
+}
+
 // saveRow serves the form of a row: it adds, changes or deletes the row.
 func (s *Server) saveRow(w http.ResponseWriter, r *http.Request) {
 	e, err := editOf(r)
@@ -169,8 +185,12 @@
 		Name:     r.FormValue("name"),
 		Withdraw: r.FormValue("action") == "withdraw",
 	}
-	if m.Target != drain.Host && m.Target != drain.Endpoint {
-		s.show(w, r, http.StatusBadRequest, pageView{Failed: texts.PageTarget})
+	err := setTimes(&m, r)
+	if !slices.Contains([]drain.Target{drain.Host, drain.Endpoint, drain.EndpointHost, drain.Domain}, m.Target) {
+		err = errors.New(texts.PageTarget)
+	}
+	if err != nil {
+		s.show(w, r, http.StatusBadRequest, pageView{Failed: err.Error()})
 		return
 	}
 	res, err := s.host.Propose(r.Context(), state.Command{Mark: &m})
@@ -184,6 +204,22 @@
 	}
 }
 
+// setTimes reads the start and the end of a stop; empty ones mean at once and open.
+func setTimes(m *drain.Mark, r *http.Request) error {
+	for name, field := range map[string]*int64{"at": &m.At, "until": &m.Until} {
+		text := r.FormValue(name)
+		if text == "" {
+			continue
+		}
+		t, err := time.Parse("2006-01-02T15:04", text)
+		if err != nil {
+			return fmt.Errorf(texts.PageTime, name, text)
+		}
+		*field = t.Unix()
+	}
+	return nil
+}
+
 // report serves the burn report of all hosts as a page.
 func (s *Server) report(w http.ResponseWriter, r *http.Request) {
 	book := burn.New(s.host.Settings.Objectives)
--- a/io/cmds/stop.go
+++ b/io/cmds/stop.go
@@ -14,15 +14,15 @@
 
 // Stop groups the commands on planned stops.
 type Stop struct {
-	Mark     StopMark     `cmd:"" help:"Plan a stop of a host or an endpoint."`
+	Mark     StopMark     `cmd:"" help:"Plan a stop of a host, an endpoint or a failure domain."`
 	Withdraw StopWithdraw `cmd:"" help:"Withdraw a planned stop."`
 	List     StopList     `cmd:"" help:"List the planned stops."`
 }
 
 // Target names what is stopped.
 type Target struct {
-	Target drain.Target `arg:"" enum:"host,endpoint" help:"host or endpoint."`
-	Name   string       `arg:"" help:"Name of the host or endpoint."`
+	Target drain.Target `arg:"" enum:"host,endpoint,endpoint-host,domain" help:"host, endpoint, endpoint-host (all endpoints at one IP number) or domain (a whole failure domain)."`
+	Name   string       `arg:"" help:"Name of the host, endpoint or failure domain, or the IP number."`
 }
 
 // StopMark plans a stop.
@@ -31,6 +31,7 @@
 	Spread
 	Target
 	At     *time.Time   `help:"When the drain starts, as in 2026-12-03T22:00:00Z; at once where left out."`
+	Until  *time.Time   `help:"When the stop is planned to end; open where left out."`
 	EditID ident.EditID `help:"Id of the mark; send one whose answer was lost again with the same id." name:"edit-id"`
 }
 
@@ -40,6 +41,9 @@
 	if c.At != nil {
 		m.At = c.At.Unix()
 	}
+	if c.Until != nil {
+		m.Until = c.Until.Unix()
+	}
 	return mark(env, c.Remote, c.Spread, m, texts.StopMarked)
 }
 
@@ -105,9 +109,9 @@
 
 func printStops(env *Env, list []drain.Stop) error {
 	w := tabwriter.NewWriter(env.Out, 0, 4, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "STOP\tSTARTS\tPHASE\tWAITS-FOR")
+	_, _ = fmt.Fprintln(w, "STOP\tSTARTS\tENDS\tPHASE\tWAITS-FOR")
 	for _, s := range list {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", s.ID(), texts.StopStart(s.At), texts.Phases[s.Phase], s.Waiting)
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", s.ID(), texts.StopStart(s.At), texts.StopEnd(s.Until), texts.Phases[s.Phase], s.Waiting)
 	}
 	return w.Flush()
 }
--- a/io/entry/watch.go
+++ b/io/entry/watch.go
@@ -18,7 +18,10 @@
 )
 
 // callersOwn are the refusals that a caller brought about; they spend no budget.
-var callersOwn = map[work.Reason]bool{work.UnknownAdapter: true, work.KeyReused: true, work.KeyRunning: true}
+var callersOwn = map[work.Reason]bool{
+	work.UnknownAdapter: true, work.KeyReused: true, work.KeyRunning: true, work.KeyInDoubt: true, work.KeyExpired: true,
+	work.Canceled: true,
+}
 
 // watch measures the service level of one request.
 type watch struct {
--- a/io/texts/examples.go
+++ b/io/texts/examples.go
@@ -27,7 +27,8 @@
 	"table history": `shallotgap table history
 shallotgap table history dairy/feed-advice --json`,
 	"stop mark": `shallotgap stop mark host e3
-shallotgap stop mark endpoint g1 --at 2026-12-03T22:00:00Z`,
+shallotgap stop mark endpoint g1 --at 2026-12-03T22:00:00Z
+shallotgap stop mark domain a --at 2026-12-03T22:00:00Z --until 2026-12-04T04:00:00Z`,
 	"stop withdraw": "shallotgap stop withdraw host e3",
 	"stop list":     "shallotgap stop list",
 	"status": `shallotgap status
--- a/io/texts/explain.go
+++ b/io/texts/explain.go
@@ -14,7 +14,8 @@
 	"forward":  "the request went to the owner of its endpoint",
 	"queue":    "it was queued for endpoint %s",
 	"claim":    "its Idempotency-Key was claimed",
-	"load":     "its adapter was loaded on endpoint %s",
+	"load":     "the load of its adapter on endpoint %s",
+	"return":   "the owner %s gave it back unsent, and another endpoint is looked for",
 	"dispatch": "it was sent to endpoint %s",
 	"cancel":   "it was cancelled at endpoint %s",
 	"answer":   "endpoint %s ended it",
@@ -28,6 +29,7 @@
 	"least-loaded": "it runs the fewest calls of that service",
 	"answered":     "the whole answer came",
 	"not-sent":     "no byte of the request was sent",
+	"done":         "the adapter is resident",
 	"broken":       "the request was sent, but no whole answer came",
 }
 
