--- a/io/entry/watch.go
+++ b/io/entry/watch.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"shallotgap/core/burn"
+	"shallotgap/core/claim"
 	"shallotgap/core/ident"
 	"shallotgap/core/work"
 	"shallotgap/io/metric"
@@ -17,7 +18,10 @@
 )
 
 // callersOwn are the refusals that a caller brought about; they spend no budget.
-var callersOwn = map[work.Reason]bool{work.UnknownAdapter: true, work.KeyReused: true, work.KeyRunning: true}
+var callersOwn = map[work.Reason]bool{
+	work.UnknownAdapter: true, work.KeyReused: true, work.KeyRunning: true, work.KeyInDoubt: true, work.KeyExpired: true,
+	work.Canceled: true,
+}
 
 // watch measures the service level of one request.
 type watch struct {
@@ -79,6 +83,10 @@
 }
 
 func (w *watch) refused(r work.Refusal) {
+	if r.Record != nil && r.Record.State == claim.Done {
+		w.meter.Count("shallotgap_requests_total", "outcome", "replayed", "reason", "")
+		return
+	}
 	w.meter.Count("shallotgap_requests_total", "outcome", string(r.Outcome), "reason", string(r.Reason))
 	if r.Record != nil || callersOwn[r.Reason] {
 		return
