Prove stops of each failure domain under load; drain on SIGTERM; record and replay traces

Cause: stops had no scenario under load. A host told to stop ended its decision loop first, so handlers that ask the loop (announcements, status) hung until the server's close timeout. Ruled out: a longer lease (a lost host would be replaced later). Change: a host without a lease refuses address queries; a host whose lease runs short asks all voters. SIGTERM plans a stop of the own host through the log, waits until it is safe (bounded by [self] drain-timeout), ends the HTTP side, and the decision loop last; the next run withdraws the stop; a second signal ends at once. core/world/trace.go, io/trace and shallotgap replay record all inputs of a host ([self] trace, trace-bytes) and replay them.

--- a/core/world/control.go
+++ b/core/world/control.go
@@ -186,17 +186,18 @@
 	}
 }
 
-// leaderTargets returns the leader, and one further voter while the lease is about to lapse or no leader is known.
+// leaderTargets returns the leader, and all voters while the lease is about to lapse or no leader is known: trying
+// them one by one takes longer than a lease lasts.
 func (w *World) leaderTargets() []ident.HostID {
 	var list []ident.HostID
 	if w.leader != "" {
 		list = append(list, w.leader)
 	}
 	if w.leader == "" || w.now.Add(w.Params.Lease.Length/2) > w.holder.Until() {
-		founders := w.founders()
-		w.leaderTry++
-		if next := founders[w.leaderTry%len(founders)]; next != w.leader {
-			list = append(list, next)
+		for _, h := range w.founders() {
+			if h != w.leader {
+				list = append(list, h)
+			}
 		}
 	}
 	return list
--- /dev/null
+++ b/core/world/trace.go
@@ -0,0 +1,114 @@
+package world
+
+import (
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+
+	"shallotgap/core/ident"
+	"shallotgap/core/wire"
+)
+
+// TraceHeader is the first record of a trace: all that a world is made from.
+type TraceHeader struct {
+	Version     int               `json:"version"`
+	Self        ident.HostID      `json:"self"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Peers       []Peer            `json:"peers"`
+	Stored      *Stored           `json:"stored,omitempty"`
+	Params      Params            `json:"params"`
+	// Seeds are those of the random numbers (PCG).
+	Seeds [2]uint64  `json:"seeds"`
+	Now   ident.Time `json:"now"`
+}
+
+// TraceVersion is the version of the trace format.
+const TraceVersion = 1
+
+// TraceStep is one later record of a trace: an input and a digest of the effects that it had.
+type TraceStep struct {
+	Input Input `json:"input"`
+	// Sum is the digest of the effects' CBOR form; it is empty when there were none.
+	Sum []byte `json:"sum,omitempty"`
+}
+
+// sumLength is the length in bytes of a digest in a trace.
+const sumLength = 8
+
+// Config returns what the recorded world was made from.
+func (h TraceHeader) Config() Config {
+	return Config{
+		Self: h.Self, Incarnation: h.Incarnation, Peers: h.Peers, Stored: h.Stored, Params: h.Params,
+		Rand: rand.New(rand.NewPCG(h.Seeds[0], h.Seeds[1])), Now: h.Now,
+	}
+}
+
+// NewTraceHeader returns the header of a world made from c with random numbers of the given seeds.
+func NewTraceHeader(c Config, seeds [2]uint64) TraceHeader {
+	return TraceHeader{
+		Version: TraceVersion, Self: c.Self, Incarnation: c.Incarnation, Peers: c.Peers, Stored: c.Stored,
+		Params: c.Params, Seeds: seeds, Now: c.Now,
+	}
+}
+
+// NewTraceStep returns the record of an input and its effects.
+func NewTraceStep(in Input, effects []Effect) (TraceStep, error) {
+	sum, err := sumOf(effects)
+	return TraceStep{Input: in, Sum: sum}, err
+}
+
+func sumOf(effects []Effect) ([]byte, error) {
+	if len(effects) == 0 {
+		return nil, nil
+	}
+	data, err := wire.Marshal(effects)
+	if err != nil {
+		return nil, err
+	}
+	sum := sha256.Sum256(data)
+	return sum[:sumLength], nil
+}
+
+// ReplayError tells at which record a replay left the trace.
+type ReplayError struct {
+	Step    int // counted from 1
+	Input   Input
+	Effects []Effect
+}
+
+// Error names the record.
+func (e *ReplayError) Error() string {
+	return fmt.Sprintf("replay: record %d at %d ns has other effects than recorded", e.Step, e.Input.Now)
+}
+
+// Replay feeds a recorded trace to a new world. next returns the records in order and io.EOF after the last one;
+// seen gets every input with its effects. A step whose effects differ from the recorded ones ends it with a ReplayError.
+func Replay(h TraceHeader, next func() (TraceStep, error), seen func(Input, []Effect)) (int, error) {
+	if h.Version != TraceVersion {
+		return 0, fmt.Errorf("replay: trace version %d; this program reads %d", h.Version, TraceVersion)
+	}
+	w, err := New(h.Config())
+	if err != nil {
+		return 0, err
+	}
+	for n := 1; ; n++ {
+		step, err := next()
+		if errors.Is(err, io.EOF) {
+			return n - 1, nil
+		}
+		if err != nil {
+			return n - 1, fmt.Errorf("replay: record %d: %w", n, err)
+		}
+		effects := w.Handle(step.Input)
+		seen(step.Input, effects)
+		sum, err := sumOf(effects)
+		if err != nil {
+			return n, err
+		}
+		if string(sum) != string(step.Sum) {
+			return n, &ReplayError{Step: n, Input: step.Input, Effects: effects}
+		}
+	}
+}
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -95,13 +95,11 @@
 	recent *feed.Recent
 	holder lease.Holder
 	// down are the hosts without a lease, as the leader last said.
-	down   []ident.HostID
-	lead   *leadership // nil while another host leads
-	leader ident.HostID
-	// leaderTry walks the hosts while no leader is known.
-	leaderTry int
-	writeSeq  uint64
-	writes    map[uint64]mark
+	down     []ident.HostID
+	lead     *leadership // nil while another host leads
+	leader   ident.HostID
+	writeSeq uint64
+	writes   map[uint64]mark
 	// compacting is set while a snapshot is being encoded.
 	compacting bool
 
--- a/fakes/fleet/fleet.go
+++ b/fakes/fleet/fleet.go
@@ -56,6 +56,7 @@
 	conf.Host
 	settings conf.Settings
 	stop     context.CancelFunc
+	drain    chan struct{}
 	done     chan struct{}
 	// Err is why the host ended; read it after Kill.
 	Err error
@@ -116,6 +117,9 @@
 	for _, h := range hosts {
 		s := conf.Defaults()
 		s.Name, s.Domain, s.Hosts, s.Params = h.Name, h.Domain, hosts, f.Params
+		if f.Params.EntryLife > 0 {
+			s.EntryLife = f.Params.EntryLife
+		}
 		if h.Disk {
 			s.DataFolder = filepath.Join(f.Folder, string(h.Name))
 		}
@@ -136,7 +140,8 @@
 	ctx, stop := context.WithCancel(f.ctx)
 	h.stop = stop
 	h.done = make(chan struct{})
-	c := host.Config{Settings: h.settings, Callers: callers, Peers: peers, Seed: f.Seed, Dial: f.dialFrom(h.Name)}
+	h.drain = make(chan struct{})
+	c := host.Config{Stop: h.drain, Settings: h.settings, Callers: callers, Peers: peers, Seed: f.Seed, Dial: f.dialFrom(h.Name)}
 	f.wait.Go(func() {
 		h.Err = serve.Run(ctx, common, c)
 		_ = callers.Close()
@@ -152,6 +157,12 @@
 	<-h.done
 }
 
+// Drain tells a host to stop, as SIGTERM does, and waits until it has ended.
+func (f *Fleet) Drain(h *Host) {
+	close(h.drain)
+	<-h.done
+}
+
 // Restart starts a killed host again at its old addresses.
 func (f *Fleet) Restart(h *Host) error {
 	callers, err := net.Listen("tcp", h.Listen)
--- a/io/cmds/cmds.go
+++ b/io/cmds/cmds.go
@@ -25,6 +25,7 @@
 	Stop    Stop    `cmd:"" help:"Plan, withdraw and list planned stops."`
 	Status  Status  `cmd:"" help:"Show what one host knows of the system."`
 	Explain Explain `cmd:"" help:"Tell what happened to a request and why."`
+	Replay  Replay  `cmd:"" help:"Replay a recorded trace of one host's decisions."`
 	Version Print   `cmd:"" help:"Print the version."`
 }
 
--- a/io/cmds/serve.go
+++ b/io/cmds/serve.go
@@ -1,8 +1,12 @@
 package cmds
 
 import (
+	"context"
 	"fmt"
 	"net"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"shallotgap/io/conf"
 	"shallotgap/io/host"
@@ -34,5 +38,21 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	return serve.Run(env.Context, common, host.Config{Settings: settings, Callers: callers, Peers: peers})
+	ctx, stop := stopSignals(env.Context)
+	return serve.Run(ctx, common, host.Config{Settings: settings, Callers: callers, Peers: peers, Stop: stop})
+}
+
+// stopSignals returns a channel that is closed at the first signal to stop, and a context that ends at the second.
+func stopSignals(parent context.Context) (context.Context, <-chan struct{}) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
+	stop := make(chan struct{})
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		close(stop)
+		<-signals
+		cancel()
+	}()
+	return ctx, stop
 }
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -26,6 +26,11 @@
 	Params world.Params
 	// EntryLife is how long callers may keep an answer to GET /v1/entries.
 	EntryLife time.Duration
+	// DrainTimeout bounds the drain of a process that is told to stop.
+	DrainTimeout time.Duration
+	// Trace is the file that the inputs of the decisions are recorded to, at most TraceBytes; empty for none.
+	Trace      string
+	TraceBytes int64
 }
 
 // Host is an entry host as all settings name it.
@@ -71,12 +76,12 @@
 
 // Defaults returns the settings that hold where a file names none.
 func Defaults() Settings {
-	return Settings{LogLevel: "info", Params: world.Defaults(), EntryLife: 5 * time.Second}
+	return Settings{LogLevel: "info", Params: world.Defaults(), EntryLife: 5 * time.Second, DrainTimeout: 30 * time.Second, TraceBytes: 256 << 20}
 }
 
 // known are the keys of each section; "host.*" stands for every section of one entry host.
 var known = map[string][]string{
-	"self":    {"name", "data-folder", "log-level"},
+	"self":    {"name", "data-folder", "log-level", "drain-timeout", "trace", "trace-bytes"},
 	"host.*":  {"domain", "listen", "peer", "disk"},
 	"callers": {"entry-life"},
 	"store":   {"loads-per-second", "loads-in-flight"},
@@ -114,6 +119,9 @@
 	s.Name = ident.HostID(self.Key("name").String())
 	s.DataFolder = self.Key("data-folder").String()
 	s.LogLevel = self.Key("log-level").MustString(s.LogLevel)
+	s.DrainTimeout = r.duration("self", "drain-timeout", s.DrainTimeout)
+	s.Trace = self.Key("trace").String()
+	s.TraceBytes = int64(r.int("self", "trace-bytes", int(s.TraceBytes)))
 	s.EntryLife = r.duration("callers", "entry-life", s.EntryLife)
 	s.Params.EntryLife = s.EntryLife
 	s.Params.StoreRate = r.float("store", "loads-per-second", s.Params.StoreRate)
--- a/io/entry/entries.go
+++ b/io/entry/entries.go
@@ -29,7 +29,14 @@
 		return
 	}
 	var hosts []ident.HostID
-	if s.host.View(r.Context(), func(v *world.World) { hosts = v.Entries(q) }) != nil {
+	serving := false
+	look := func(v *world.World) { hosts, serving = v.Entries(q), v.Serving() }
+	if s.host.View(r.Context(), look) != nil {
+		return
+	}
+	if !serving {
+		// This host does not know which hosts stop: the caller asks another one.
+		problem(w, http.StatusServiceUnavailable, work.Refusal{Outcome: work.NotRun, Reason: work.NoLease, Step: "entries", RetryAfter: world.RetryLater})
 		return
 	}
 	out := Entries{Entries: []Address{}, LifetimeMS: s.settings.EntryLife.Milliseconds()}
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -19,6 +19,7 @@
 	"shallotgap/io/logs"
 	"shallotgap/io/peer"
 	"shallotgap/io/relay"
+	"shallotgap/io/trace"
 )
 
 // tickEvery is the interval between ticks of the decision core.
@@ -34,6 +35,8 @@
 	Peers    net.Listener
 	// Seed makes the host's random choices repeatable.
 	Seed uint64
+	// Stop is closed when the host is to drain and then end; nil for never.
+	Stop <-chan struct{}
 	// Dial replaces the way to other hosts; nil for TCP.
 	Dial peer.DialFunc
 }
@@ -49,6 +52,7 @@
 	network *peer.Network
 	client  *engine.Client
 	store   *disk.Store
+	trace   *trace.Writer
 	inbox   chan func(*world.World) *world.Event
 	writes  chan world.Write
 
@@ -94,6 +98,9 @@
 		h.store = store
 		c.Stored = &stored
 	}
+	if err := h.record(c); err != nil {
+		return err
+	}
 	w, err := world.New(c)
 	h.world = w
 	return err
@@ -116,6 +123,7 @@
 func (h *Host) loop(ctx context.Context) error {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
+	defer h.endRecord()
 	for {
 		var event *world.Event
 		select {
@@ -130,7 +138,9 @@
 			continue
 		}
 		in := world.Input{Now: h.now(), Wall: time.Now().Unix(), Event: *event}
-		for _, e := range h.world.Handle(in) {
+		effects := h.world.Handle(in)
+		h.recordStep(in, effects)
+		for _, e := range effects {
 			h.carryOut(ctx, e)
 		}
 	}
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -20,10 +21,10 @@
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 2 * time.Minute
 	maxHeader     = 64 << 10 // bytes
-	closeTimeout  = 10 * time.Second
 )
 
-// Run serves until the context ends or a part fails.
+// Run serves until the context ends, which cuts what runs, or until c.Stop is closed and the host has drained, or
+// until a part fails.
 func Run(ctx context.Context, common logs.Common, c host.Config) error {
 	h, err := host.New(common, c)
 	if err != nil {
@@ -33,21 +34,25 @@
 	entry.New(common, h).Register(mux)
 	admin.New(common, h).Register(mux)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	ctx, end := context.WithCancel(ctx)
+	defer end()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return h.Run(ctx) })
 	group.Go(func() error {
-		if err := server.Serve(c.Callers); err != nil && ctx.Err() == nil {
+		if err := server.Serve(c.Callers); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("serve callers: %w", err)
 		}
 		return nil
 	})
+	d := &drainer{Common: common, host: h, server: server}
 	group.Go(func() error {
-		<-ctx.Done()
-		closeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
-		defer cancel()
-		if err := server.Shutdown(closeCtx); err != nil {
-			return server.Close()
-		}
+		d.run(ctx)
+		// The decision loop ends last: handlers that still run wait for its answers.
+		end()
+		return nil
+	})
+	group.Go(func() error {
+		d.comeBack(ctx)
 		return nil
 	})
 	common.Log.WithField("listen", c.Callers.Addr().String()).Info("serving")
--- /dev/null
+++ b/scene/drain_test.go
@@ -0,0 +1,46 @@
+package scene
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shallotgap/fakes/fleet"
+)
+
+// A host that is told to stop ends its work, moves what it owns and ends, and its stop is withdrawn when it is back.
+func TestToldToStopCutsNoRequest(t *testing.T) {
+	f := newSpread(t)
+	load := fleet.StartLoad(fleet.LoadConfig{Entries: f.URLs(), Callers: 8, Model: "feed-advice@v1", Service: "payments", Pause: 2 * time.Millisecond})
+	h := f.Hosts[0]
+	f.Drain(h)
+	assert.NilError(t, h.Err)
+	phase, _ := phaseOf(f.Hosts[1], "host/e1")
+	assert.Equal(t, string(phase), "safe")
+	assert.NilError(t, f.Restart(h))
+	gone := func() bool { phase, _ := phaseOf(f.Hosts[1], "host/e1"); return phase == "" }
+	assert.Assert(t, fleet.Await(settleTime, gone), "the stop stands after the host is back")
+	outcomes := load.Stop()
+	twice, untrue := fleet.Doubled(outcomes, runsOf(f))
+	assert.DeepEqual(t, fleet.Failed(outcomes), map[string]int{})
+	assert.Equal(t, len(twice)+len(untrue), 0, "doubled: %v; untrue: %v", twice, untrue)
+}
+
+// A host that reaches no majority ends when it is told to, long before its drain timeout.
+func TestToldToStopWithoutMajorityEnds(t *testing.T) {
+	f := newSpread(t)
+	h := f.Hosts[6]
+	f.Isolate(h.Name)
+	ended := make(chan struct{})
+	go func() {
+		f.Drain(h)
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		assert.NilError(t, h.Err)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the host did not end")
+	}
+}
--- /dev/null
+++ b/scene/stops_test.go
@@ -0,0 +1,141 @@
+package scene
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shallotgap/core/drain"
+	"shallotgap/core/ident"
+	"shallotgap/core/state"
+	"shallotgap/core/world"
+	"shallotgap/fakes/fleet"
+	"shallotgap/fakes/stand"
+	"shallotgap/io/entry"
+)
+
+// newSpread starts seven hosts in three failure domains, each with an engine and a replica of a plain service.
+func newSpread(t *testing.T) *fleet.Fleet {
+	t.Helper()
+	params := world.Defaults()
+	params.EntryLife = time.Second
+	f, err := fleet.New(fleet.Config{Hosts: 7, Disks: 3, Domains: 3, Folder: t.TempDir(), Params: params, Seed: 1})
+	assert.NilError(t, err)
+	t.Cleanup(f.Close)
+	f.AddStore(stand.StoreConfig{Rate: 50, InFlight: 8, Time: 20 * time.Millisecond})
+	for _, d := range []string{"a", "b", "c"} {
+		f.AddEngine(stand.EngineConfig{ID: "g" + d, Domain: d, Model: "base", Slots: 4, Batch: 16, StepTime: 5 * time.Millisecond})
+		f.AddPlain(stand.PlainConfig{ID: "p" + d, Service: "payments", Domain: d})
+	}
+	for _, h := range f.Hosts {
+		assert.Assert(t, fleet.Await(settleTime, func() bool { return ready(h, 6) }), "host %s does not serve", h.Name)
+	}
+	putRow(t, f, f.Hosts[0], "feed-advice@v1")
+	return f
+}
+
+var edits int
+
+// markStop plans or withdraws a stop at host h.
+func markStop(t *testing.T, h *fleet.Host, target drain.Target, name string, withdraw bool) drain.Result {
+	t.Helper()
+	edits++
+	m := drain.Mark{ID: ident.EditID("mark-" + string(rune('a'+edits))), Target: target, Name: name, Withdraw: withdraw}
+	body, err := json.Marshal(m)
+	assert.NilError(t, err)
+	a := post(h.URL()+"/admin/stops", string(body))
+	assert.NilError(t, a.Err)
+	var res state.Result
+	assert.NilError(t, json.Unmarshal([]byte(a.Body), &res), a.Body)
+	assert.Assert(t, res.Mark != nil, a.Body)
+	return *res.Mark
+}
+
+// phaseOf returns the stop's phase as host h knows it, and what it waits for.
+func phaseOf(h *fleet.Host, id drain.StopID) (drain.Phase, string) {
+	var list []drain.Stop
+	if get(h.URL()+"/admin/stops", &list) != nil {
+		return "", ""
+	}
+	for _, s := range list {
+		if s.ID() == id {
+			return s.Phase, s.Waiting
+		}
+	}
+	return "", ""
+}
+
+func awaitSafe(t *testing.T, h *fleet.Host, id drain.StopID) {
+	t.Helper()
+	safe := func() bool { phase, _ := phaseOf(h, id); return phase == drain.Safe }
+	ok := fleet.Await(settleTime, safe)
+	_, waiting := phaseOf(h, id)
+	assert.Assert(t, ok, "stop %s is not safe: %s", id, waiting)
+}
+
+func entriesOf(h *fleet.Host) []ident.HostID {
+	var answer entry.Entries
+	var list []ident.HostID
+	if get(h.URL()+"/v1/entries", &answer) == nil {
+		for _, a := range answer.Entries {
+			list = append(list, a.Host)
+		}
+	}
+	return list
+}
+
+func runsOf(f *fleet.Fleet) map[string]int {
+	runs := map[string]int{}
+	for _, p := range f.Plains {
+		for key, n := range p.Fake.Counts() {
+			runs[key] += n
+		}
+	}
+	return runs
+}
+
+// A stop of each failure domain in turn, with its hosts switched off once it is safe, cuts and doubles no request.
+func TestStopOfEachFailureDomainCutsNoRequest(t *testing.T) {
+	f := newSpread(t)
+	load := fleet.StartLoad(fleet.LoadConfig{Entries: f.URLs(), Callers: 8, Model: "feed-advice@v1", Service: "payments", Pause: 2 * time.Millisecond})
+	for i, domain := range []ident.DomainID{"a", "b", "c"} {
+		stays := f.Hosts[(i+1)%3]
+		assert.Assert(t, markStop(t, stays, drain.Domain, string(domain), false).Accepted)
+		gone := func() bool { return !slices.Contains(entriesOf(stays), f.Hosts[i].Name) }
+		assert.Assert(t, fleet.Await(3*time.Second, gone), "the address answer still names %s", f.Hosts[i].Name)
+		awaitSafe(t, stays, drain.IDOf(drain.Domain, string(domain)))
+		for _, h := range f.Hosts {
+			if h.Domain == domain {
+				f.Kill(h)
+				assert.NilError(t, f.Restart(h))
+			}
+		}
+		back := func() bool {
+			return !slices.ContainsFunc(f.Hosts, func(h *fleet.Host) bool { return !ready(h, 6) })
+		}
+		assert.Assert(t, fleet.Await(settleTime, back), "the hosts of domain %s do not come back", domain)
+		assert.Assert(t, markStop(t, stays, drain.Domain, string(domain), true).Accepted)
+	}
+	outcomes := load.Stop()
+	twice, untrue := fleet.Doubled(outcomes, runsOf(f))
+	t.Logf("%d requests", len(outcomes))
+	assert.DeepEqual(t, fleet.Failed(outcomes), map[string]int{})
+	assert.Equal(t, len(twice)+len(untrue), 0, "doubled: %v; untrue: %v", twice, untrue)
+}
+
+// Of stops of two voters only one is accepted, a stop can be withdrawn half-way, and the other one is then accepted.
+func TestStopIsRefusedWithItsReason(t *testing.T) {
+	f := newSpread(t)
+	first := markStop(t, f.Hosts[3], drain.Host, "e1", false)
+	assert.Assert(t, first.Accepted)
+	second := markStop(t, f.Hosts[4], drain.Host, "e2", false)
+	assert.Assert(t, !second.Accepted && strings.Contains(second.Reason, "no majority"), second.Reason)
+	assert.Assert(t, markStop(t, f.Hosts[3], drain.Host, "e1", true).Accepted)
+	assert.Assert(t, markStop(t, f.Hosts[4], drain.Host, "e2", false).Accepted)
+	awaitSafe(t, f.Hosts[4], "host/e2")
+	assert.Assert(t, fleet.Await(settleTime, func() bool { return slices.Contains(entriesOf(f.Hosts[4]), "e1") }))
+}
