--- a/core/world/event.go
+++ b/core/world/event.go
@@ -104,13 +104,15 @@
 	Note     *Note     `json:"note,omitempty"`
 }
 
-// Write must become durable, in order; then Then is sent and Written comes back.
+// Write must become durable, in order; then Then is sent and, unless Seq is 0, Written comes back.
 type Write struct {
 	Seq      uint64           `json:"seq"`
 	Hard     *quorum.Hard     `json:"hard,omitempty"`
 	Snapshot *quorum.Snapshot `json:"snapshot,omitempty"`
-	Entries  []quorum.Entry   `json:"entries,omitempty"`
-	Then     []Outbound       `json:"then,omitempty"`
+	// Replace drops all entries written before; without it those after the snapshot stay.
+	Replace bool           `json:"replace,omitempty"`
+	Entries []quorum.Entry `json:"entries,omitempty"`
+	Then    []Outbound     `json:"then,omitempty"`
 }
 
 // Forward passes a request to the owner of its endpoint.
@@ -126,6 +128,8 @@
 	From     ident.HostID `json:"from"`
 	Endpoint lease.Owned  `json:"endpoint"`
 	Until    ident.Time   `json:"until"`
+	// Waited is how long the request waited for the dispatch; the first piece of the answer carries it.
+	Waited work.Waited `json:"waited"`
 }
 
 // Abort cancels a dispatched request; Ended follows.
--- a/io/host/submit.go
+++ b/io/host/submit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 
 	"shallotgap/core/claim"
 	"shallotgap/core/ident"
@@ -33,10 +32,10 @@
 }
 
 // Finish closes an exchange; work that goes on for it is cancelled.
-func (h *Host) Finish(x *relay.Exchange, answered bool) {
-	owner := h.Relay.Close(x.ID)
+func (h *Host) Finish(x *relay.Exchange) {
+	owner, working := h.Relay.Close(x.ID)
 	defer h.post(world.Event{Finished: &world.Finished{ID: x.ID}})
-	if answered {
+	if !working {
 		return
 	}
 	h.post(world.Event{Cancel: &world.Cancel{ID: x.ID}})
@@ -59,8 +58,22 @@
 	return v.(state.Result), nil
 }
 
-// Record returns the record of a claim as the leader knows it.
+// Record returns the record of a claim. Only a final state is taken from the leader's word: a host that no longer
+// leads may not know of a claim, so all else is read in the order of the log.
 func (h *Host) Record(ctx context.Context, n claim.Name) (world.Asked, error) {
+	a, err := h.ask(ctx, n)
+	if err != nil || (a.Record != nil && (a.Record.State == claim.Done || a.Record.State == claim.InDoubt)) {
+		return a, err
+	}
+	res, err := h.Propose(ctx, state.Command{Look: &n})
+	if err != nil || res.Claim == nil {
+		return world.Asked{}, ErrNoAnswer
+	}
+	return world.Asked{Index: res.Index, Record: res.Claim.Record}, nil
+}
+
+// ask returns the record of a claim as the host that leads, or did so, knows it.
+func (h *Host) ask(ctx context.Context, n claim.Name) (world.Asked, error) {
 	t, answer := h.newTicket()
 	h.post(world.Event{Ask: &world.Question{Ticket: t, Name: n}})
 	v, err := h.await(ctx, t, answer)
@@ -101,38 +114,3 @@
 		answer <- v
 	}
 }
-
-// maxNotes is the number of decision notes that a host keeps.
-const maxNotes = 50_000
-
-// notebook keeps the latest decision notes.
-type notebook struct {
-	mu    sync.Mutex
-	notes []world.Note
-	next  int
-}
-
-func (n *notebook) add(note world.Note) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if len(n.notes) < maxNotes {
-		n.notes = append(n.notes, note)
-		return
-	}
-	n.notes[n.next] = note
-	n.next = (n.next + 1) % maxNotes
-}
-
-// Notes returns what this host decided on a request, in order.
-func (h *Host) Notes(id ident.RequestID) []world.Note {
-	h.notes.mu.Lock()
-	defer h.notes.mu.Unlock()
-	var list []world.Note
-	for i := range h.notes.notes {
-		note := h.notes.notes[(h.notes.next+i)%len(h.notes.notes)]
-		if note.Request == id {
-			list = append(list, note)
-		}
-	}
-	return list
-}
