--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -56,6 +56,9 @@
 // Until returns the reading at which the lease ends.
 func (h *Holder) Until() ident.Time { return h.until }
 
+// Hasten makes the next renewal due at once, so that the leader learns what this host has applied.
+func (h *Holder) Hasten() { h.renewAt = 0 }
+
 // Due returns the renewal to send at now, or nil when none is due.
 func (h *Holder) Due(now ident.Time, applied ident.Index) *Renew {
 	if now < h.renewAt {
@@ -102,6 +105,7 @@
 		c = &client{}
 		g.hosts[h] = c
 	}
+	c.last = r
 	reply := Renewed{Sent: r.Sent, Incarnation: r.Incarnation}
 	if r.Incarnation < c.incarnation && g.Alive(h, now) {
 		// A late message of an earlier run, or a wall clock that went back; the lease of the other run passes first.
@@ -109,7 +113,6 @@
 		return reply
 	}
 	c.applied = r.Applied
-	c.last = r
 	if behind > g.Spread {
 		reply.Refused = true
 		return reply
