--- a/core/world/assign.go
+++ b/core/world/assign.go
@@ -24,13 +24,18 @@
 		if l.assigning[e.ID] > w.state.Applied {
 			continue
 		}
-		if !l.needsOwner(w, e) {
+		stops := e.Owner != "" && w.state.Stops.HostStops(e.Owner)
+		if !stops && !l.needsOwner(w, e) {
 			continue
 		}
 		to, ok := l.pickOwner(w, e, counts)
 		if !ok {
 			continue
 		}
+		if stops && !l.granter.Expired(e.Owner, w.now) {
+			// First nobody owns it: the next owner starts once the present one has seen that.
+			to = ""
+		}
 		counts[to]++
 		a := lease.Assign{Endpoint: e.ID, Owner: to, From: e.Fence}
 		i := l.propose(w, w.Self, Proposal{Command: state.Command{Assign: &a}})
--- a/core/world/once.go
+++ b/core/world/once.go
@@ -50,6 +50,9 @@
 	if res.Claim == nil {
 		return
 	}
+	if w.claimedBack(o, *res.Claim) {
+		return
+	}
 	if it == nil {
 		if res.Claim.Granted {
 			w.closeClaim(o, claim.Released, nil)
@@ -60,9 +63,6 @@
 	if res.Claim.Granted {
 		it.Claimed = true
 		w.note(o.Request, "claim", "committed by a majority", "")
-		if site := w.sites[it.Endpoint]; site == nil || !site.Holds(it) {
-			w.sendBack(it, work.NotOwner)
-		}
 		return
 	}
 	w.drop(it)
@@ -89,16 +89,16 @@
 
 // closeClaim records an outcome; the proposal is repeated until a leader answers it.
 func (w *World) closeClaim(o claim.Open, s claim.State, a *claim.Answer) {
-	w.propose(w.closing(o, s, a), purpose{})
+	w.propose(closing(o, s, a), purpose{})
 }
 
-func (w *World) closing(o claim.Open, s claim.State, a *claim.Answer) state.Command {
-	holder := claim.Holder{Host: w.Self, Incarnation: w.Incarnation}
-	return state.Command{Close: &claim.Close{Name: o.Name, Request: o.Request, Holder: holder, State: s, Answer: a}}
+func closing(o claim.Open, s claim.State, a *claim.Answer) state.Command {
+	return state.Command{Close: &claim.Close{Name: o.Name, Request: o.Request, Holder: o.Holder, State: s, Answer: a}}
 }
 
-func openOf(it *place.Item) claim.Open {
-	return claim.Open{Name: it.Name(), Request: it.ID, Try: it.Try}
+// openOf returns the claim that this host holds for a request.
+func (w *World) openOf(it *place.Item) claim.Open {
+	return claim.Open{Name: it.Name(), Request: it.ID, Try: it.Try, Holder: claim.Holder{Host: w.Self, Incarnation: w.Incarnation}}
 }
 
 func claimState(s work.EndState) claim.State {
--- a/core/world/own.go
+++ b/core/world/own.go
@@ -42,7 +42,7 @@
 
 // takeSite starts to own an endpoint. What it holds is read before the first order.
 func (w *World) takeSite(e lease.Owned) {
-	site := place.NewSite(e, w.now, w.now.Add(w.Params.LongestRequest))
+	site := place.NewSite(e, w.Params.Policy, w.now, w.now.Add(w.Params.LongestRequest))
 	w.sites[e.ID] = site
 	w.taken[e.ID] = &takenSite{at: w.now, inspectAt: w.now.Add(inspectEvery), pins: map[ident.HostID][]*place.Slot{}}
 	if e.Kind == lease.Engine {
@@ -56,6 +56,7 @@
 func (w *World) loseSite(site *place.Site) {
 	w.clearQueue(site, work.NotOwner)
 	w.leaveSite(site)
+	w.holder.Hasten()
 	delete(w.sites, site.ID)
 }
 
@@ -117,6 +118,7 @@
 	for _, id := range sortedKeys(w.sites) {
 		site := w.sites[id]
 		w.checkSilence(site)
+		site.Turns(w.now)
 		wants = append(wants, site.Wants(w.now)...)
 		w.inspectFrozen(site)
 		w.departLeaving(site)
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -14,6 +14,7 @@
 	"shallotgap/core/lease"
 	"shallotgap/core/place"
 	"shallotgap/core/quorum"
+	"shallotgap/core/route"
 	"shallotgap/core/state"
 	"shallotgap/core/wire"
 )
@@ -56,8 +57,12 @@
 	LongestRequest time.Duration
 	StoreRate      float64 // loads a second
 	StoreInFlight  int     // loads at once
-	KeyLife        time.Duration
-	CompactAfter   int // log entries between snapshots
+	// Policy weighs load stalls against batch efficiency.
+	Policy place.Policy
+	// Routing is the setting of the choice of endpoints.
+	Routing      route.Policy
+	KeyLife      time.Duration
+	CompactAfter int // log entries between snapshots
 	// Voters is the number of hosts that vote; further ones with a data folder stand by. 0 means the largest of 1, 3
 	// and 5 that the disks allow.
 	Voters int
@@ -82,6 +87,8 @@
 		LongestRequest:  10 * time.Minute,
 		StoreRate:       2,
 		StoreInFlight:   8,
+		Policy:          place.DefaultPolicy(),
+		Routing:         route.DefaultPolicy(),
 		KeyLife:         24 * time.Hour,
 		CompactAfter:    4096,
 		RepairAfter:     30 * time.Second,
@@ -104,8 +111,6 @@
 	down   []ident.HostID
 	lead   *leadership // nil while another host leads
 	leader ident.HostID
-	// leaderTry walks the hosts while no leader is known.
-	leaderTry int
 	// compacting is set while a snapshot is being encoded.
 	compacting bool
 
@@ -122,11 +127,17 @@
 	// open is the number of callers' requests at this host.
 	open int
 	// left and taken are the endpoints whose work is handed over; stray are the requests that run at endpoints given up.
-	left     map[ident.EndpointID]*leftSite
-	taken    map[ident.EndpointID]*takenSite
-	stray    map[ident.RequestID]bool
-	reports  map[ident.EndpointID]place.Report
+	left  map[ident.EndpointID]*leftSite
+	taken map[ident.EndpointID]*takenSite
+	stray map[ident.RequestID]bool
+	// backs are the requests that go back to their entry host once their claim is released.
+	backs   map[ident.RequestID]*backward
+	reports map[ident.EndpointID]place.Report
+	// holding are the endpoints of other hosts that have an adapter or will have it, by their reports.
+	holding  map[ident.Model][]ident.EndpointID
+	routes   *routeIndex
 	reportAt ident.Time
+	sending  map[ident.EndpointID]sending
 	sent     map[ident.EndpointID]string
 }
 
@@ -144,12 +155,15 @@
 		items:    map[ident.RequestID]*place.Item{},
 		forwards: map[ident.RequestID]forwarded{},
 		reports:  map[ident.EndpointID]place.Report{},
+		holding:  map[ident.Model][]ident.EndpointID{},
 		sent:     map[ident.EndpointID]string{},
+		left:     map[ident.EndpointID]*leftSite{},
+		taken:    map[ident.EndpointID]*takenSite{},
+		stray:    map[ident.RequestID]bool{},
+		sending:  map[ident.EndpointID]sending{},
+		backs:    map[ident.RequestID]*backward{},
 		// Tickets of two runs never meet, so that a late answer to the earlier run matches nothing.
 		tickets: Ticket(c.Incarnation),
-		left:    map[ident.EndpointID]*leftSite{},
-		taken:   map[ident.EndpointID]*takenSite{},
-		stray:   map[ident.RequestID]bool{},
 	}
 	if c.Stored == nil {
 		return w, nil
@@ -246,6 +260,7 @@
 	w.resend()
 	w.reroute()
 	w.handOver()
+	w.expireBacks()
 	w.tickLeader()
 	w.tickSites()
 	w.expire()
--- a/fakes/fleet/fleet.go
+++ b/fakes/fleet/fleet.go
@@ -64,6 +64,7 @@
 	conf.Host
 	settings conf.Settings
 	stop     context.CancelFunc
+	drain    chan struct{}
 	done     chan struct{}
 	// Err is why the host ended; read it after Kill.
 	Err error
@@ -124,6 +125,9 @@
 	for _, h := range hosts {
 		s := conf.Defaults()
 		s.Name, s.Domain, s.Hosts, s.Params = h.Name, h.Domain, hosts, f.Params
+		if f.Params.EntryLife > 0 {
+			s.EntryLife = f.Params.EntryLife
+		}
 		if h.Disk {
 			s.DataFolder = filepath.Join(f.Folder, string(h.Name))
 		}
@@ -144,8 +148,9 @@
 	ctx, stop := context.WithCancel(f.ctx)
 	h.stop = stop
 	h.done = make(chan struct{})
+	h.drain = make(chan struct{})
 	wrap := f.WrapLog
-	c := host.Config{Settings: h.settings, Callers: callers, Peers: peers, Seed: f.Seed, Dial: f.dialFrom(h.Name)}
+	c := host.Config{Stop: h.drain, Settings: h.settings, Callers: callers, Peers: peers, Seed: f.Seed, Dial: f.dialFrom(h.Name)}
 	if wrap != nil {
 		c.WrapLog = func(file disk.File) disk.File { return wrap(h.Name, file) }
 	}
@@ -164,6 +169,12 @@
 	<-h.done
 }
 
+// Drain tells a host to stop, as SIGTERM does, and waits until it has ended.
+func (f *Fleet) Drain(h *Host) {
+	close(h.drain)
+	<-h.done
+}
+
 // Ended reports whether a host has ended by itself.
 func (h *Host) Ended() bool {
 	select {
--- a/io/host/submit.go
+++ b/io/host/submit.go
@@ -35,6 +35,7 @@
 func (h *Host) Finish(x *relay.Exchange) {
 	defer h.post(world.Event{Finished: &world.Finished{ID: x.ID}})
 	owner, working := h.Relay.Close(x.ID)
+	defer h.post(world.Event{Finished: &world.Finished{ID: x.ID}})
 	if !working {
 		return
 	}
