Send empty lists of wishes as seldom as renewals; keep endpoints announcing themselves in the scenarios

And a trial mutation (no clock reading before each event) survived the frozen leader's scenario, because endpoints that had announced themselves once were gone by then. Ruled out: sending on change only (a lost message would leave the leader with old wishes). Change: an empty list goes out with the interval of renewals, at once after a list that was not empty; vtime endpoints announce themselves every second, in the tests and in the probe. Conclusion: idle bytes and processor time are to be measured again.

--- a/core/world/faults_test.go
+++ b/core/world/faults_test.go
@@ -202,8 +202,8 @@
 			})
 			w := newWatch(f, t.Fatalf)
 			f.Run(4 * time.Second)
-			for n, h := range f.Hosts {
-				w.announce(h, n)
+			for n := range f.Hosts {
+				f.Announce(n)
 			}
 			f.Run(time.Second)
 			c.steps(w)
--- a/core/world/own.go
+++ b/core/world/own.go
@@ -123,7 +123,18 @@
 		w.inspectFrozen(site)
 		w.departLeaving(site)
 	}
-	if w.leader != "" && w.Serving() {
-		w.send(w.leader, Message{Wants: &Wants{List: wants}})
+	w.sendWants(wants)
+}
+
+// sendWants tells the leader the wishes for loads. An empty list replaces a former one too, but is sent only as often
+// as a renewal: one that says the same as the last does no good, unless that was lost.
+func (w *World) sendWants(list []place.Want) {
+	if w.leader == "" || !w.Serving() || (len(list) == 0 && w.now < w.wantsAt) {
+		return
+	}
+	w.wantsAt = w.now
+	if len(list) == 0 {
+		w.wantsAt = w.now.Add(w.Params.Lease.Renew)
 	}
+	w.send(w.leader, Message{Wants: &Wants{List: list}})
 }
--- a/core/world/survive_test.go
+++ b/core/world/survive_test.go
@@ -9,7 +9,6 @@
 	"pgregory.net/rapid"
 
 	"shallotgap/core/ident"
-	"shallotgap/core/lease"
 	"shallotgap/core/quorum"
 	"shallotgap/core/rows"
 	"shallotgap/core/state"
@@ -134,11 +133,6 @@
 	w.Propose(h, world.Proposal{Command: state.Command{Edit: &e}})
 }
 
-func (w *watch) announce(h *vtime.Host, n int) {
-	e := lease.Endpoint{ID: ident.EndpointID(fmt.Sprint("p", n)), Kind: lease.Plain, Service: "s", Domain: "a", MaxRunning: 1, Instance: 1}
-	w.Handle(h, world.Event{Announced: &e})
-}
-
 // faults are the steps that a run is drawn from.
 var faults = map[string]func(w *watch, h, other *vtime.Host){
 	"crash":  func(w *watch, h, _ *vtime.Host) { w.Crash(h) },
@@ -201,7 +195,7 @@
 		w := newWatch(f, t.Fatalf)
 		f.Run(4 * time.Second)
 		for n := range 4 {
-			w.announce(f.Hosts[n], n)
+			f.Announce(n)
 		}
 		for range rapid.IntRange(10, 60).Draw(t, "steps") {
 			name := rapid.SampledFrom(names).Draw(t, "step")
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -137,6 +137,7 @@
 	holding  map[ident.Model][]ident.EndpointID
 	routes   *routeIndex
 	reportAt ident.Time
+	wantsAt  ident.Time // when an empty list of wishes is due
 	sending  map[ident.EndpointID]sending
 	sent     map[ident.EndpointID]string
 }
--- a/fakes/probe/times.go
+++ b/fakes/probe/times.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"shallotgap/core/ident"
-	"shallotgap/core/lease"
 	"shallotgap/core/rows"
 	"shallotgap/core/state"
 	"shallotgap/core/world"
@@ -25,25 +24,12 @@
 		Network: vtime.Network{Delay: 1500 * time.Microsecond, Jitter: 500 * time.Microsecond},
 	})
 	for n := range 7 {
-		announce(f, n)
+		f.Announce(n)
 	}
 	f.Run(4*time.Second + time.Duration(f.Rand.Int64N(int64(time.Second))))
 	return f
 }
 
-// announce lets an endpoint announce itself to one host after the other.
-func announce(f *vtime.Fleet, n int) {
-	e := lease.Endpoint{ID: ident.EndpointID(fmt.Sprint("p", n)), Kind: lease.Plain, Service: "s", Domain: "a", MaxRunning: 1, Instance: 1}
-	turn := n
-	var again func()
-	again = func() {
-		turn++
-		f.Handle(f.Hosts[turn%len(f.Hosts)], world.Event{Announced: &e})
-		f.At(time.Second, again)
-	}
-	f.At(time.Second, again)
-}
-
 func leaderOf(f *vtime.Fleet) *vtime.Host {
 	for _, h := range f.Hosts {
 		if h.World != nil && h.World.Overview().Role == world.RoleLeader {
