Bound the bytes of reports: residency to all, load to those who ask, repeats for what is lost

Cause: every change of running or waiting requests at an endpoint went to all hosts up to ten times a second, and a report lost with its link was never sent again, so hosts could route by a wrong residency for ever. Ruled out: load with every answer (one event more for each request at the entry host's loop); reports by the leader (a hop more, and all of them on one host); a fixed slower interval (too slow for 7 hosts or too much for 410). Change: a change of residency goes to all at once; a change of load goes to the hosts that forwarded a request within 10 s, as often as 4 KB a second allow; one site's report is repeated in turn within 1 KB a second; a host that can be reached again gets all reports (new event link-up).

--- a/core/world/event.go
+++ b/core/world/event.go
@@ -22,6 +22,7 @@
 	Propose   *Proposal       `json:"propose,omitempty"`
 	Ask       *Question       `json:"ask,omitempty"`
 	LinkLost  *LinkLost       `json:"link-lost,omitempty"`
+	LinkUp    *LinkUp         `json:"link-up,omitempty"`
 	Compacted *Compacted      `json:"compacted,omitempty"`
 	Bounced   *Bounced        `json:"bounced,omitempty"`
 	Finished  *Finished       `json:"finished,omitempty"`
@@ -83,6 +84,11 @@
 	Err     string `json:"err,omitempty"`
 }
 
+// LinkUp tells that a host can be reached on a new link; earlier messages to it may be lost.
+type LinkUp struct {
+	Host ident.HostID `json:"host"`
+}
+
 // LinkLost tells that the link to a host broke; messages on it may be lost.
 type LinkLost struct {
 	Host ident.HostID `json:"host"`
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -134,34 +134,33 @@
 	backs   map[ident.RequestID]*backward
 	reports map[ident.EndpointID]place.Report
 	// holding are the endpoints of other hosts that have an adapter or will have it, by their reports.
-	holding  map[ident.Model][]ident.EndpointID
-	routes   *routeIndex
-	reportAt ident.Time
-	sending  map[ident.EndpointID]sending
-	sent     map[ident.EndpointID]string
+	holding   map[ident.Model][]ident.EndpointID
+	routes    *routeIndex
+	sending   map[ident.EndpointID]sending
+	reporting reporting
 }
 
 // New returns the world of a host that starts at c.Now.
 func New(c Config) (*World, error) {
 	w := &World{
-		Config:   c,
-		now:      c.Now,
-		state:    state.New(),
-		recent:   feed.NewRecent(0),
-		holder:   lease.Holder{Terms: c.Params.Lease, Incarnation: c.Incarnation},
-		pending:  map[Ticket]*pending{},
-		asking:   map[Ticket]*asking{},
-		sites:    map[ident.EndpointID]*place.Site{},
-		items:    map[ident.RequestID]*place.Item{},
-		forwards: map[ident.RequestID]forwarded{},
-		reports:  map[ident.EndpointID]place.Report{},
-		holding:  map[ident.Model][]ident.EndpointID{},
-		sent:     map[ident.EndpointID]string{},
-		left:     map[ident.EndpointID]*leftSite{},
-		taken:    map[ident.EndpointID]*takenSite{},
-		stray:    map[ident.RequestID]bool{},
-		sending:  map[ident.EndpointID]sending{},
-		backs:    map[ident.RequestID]*backward{},
+		Config:    c,
+		now:       c.Now,
+		state:     state.New(),
+		recent:    feed.NewRecent(0),
+		holder:    lease.Holder{Terms: c.Params.Lease, Incarnation: c.Incarnation},
+		pending:   map[Ticket]*pending{},
+		asking:    map[Ticket]*asking{},
+		sites:     map[ident.EndpointID]*place.Site{},
+		items:     map[ident.RequestID]*place.Item{},
+		forwards:  map[ident.RequestID]forwarded{},
+		reports:   map[ident.EndpointID]place.Report{},
+		holding:   map[ident.Model][]ident.EndpointID{},
+		reporting: newReporting(),
+		left:      map[ident.EndpointID]*leftSite{},
+		taken:     map[ident.EndpointID]*takenSite{},
+		stray:     map[ident.RequestID]bool{},
+		sending:   map[ident.EndpointID]sending{},
+		backs:     map[ident.RequestID]*backward{},
 		// Tickets of two runs never meet, so that a late answer to the earlier run matches nothing.
 		tickets: Ticket(c.Incarnation),
 	}
@@ -247,6 +246,8 @@
 		w.finished(e.Finished.ID)
 	case e.Compacted != nil:
 		w.compacted(*e.Compacted)
+	case e.LinkUp != nil:
+		w.sendAllReports(e.LinkUp.Host)
 	case e.LinkLost != nil:
 		w.linkLost(e.LinkLost.Host)
 	default:
--- a/io/host/effect.go
+++ b/io/host/effect.go
@@ -158,6 +158,9 @@
 	}
 }
 
+// LinkUp tells the core that a host can be reached.
+func (h *Host) LinkUp(up ident.HostID) { h.post(world.Event{LinkUp: &world.LinkUp{Host: up}}) }
+
 // LinkLost breaks off what depended on the link.
 func (h *Host) LinkLost(lost ident.HostID) {
 	h.Relay.Lost(lost)
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -41,6 +41,8 @@
 type Receiver interface {
 	ReceiveControl(from ident.HostID, m world.Message)
 	ReceiveData(from ident.HostID, f relay.Frame)
+	// LinkUp tells that frames to a host go out again.
+	LinkUp(h ident.HostID)
 	// LinkLost tells that frames to or from a host may have been lost.
 	LinkLost(h ident.HostID)
 }
@@ -177,6 +179,7 @@
 	drain(l.queue)
 	n.setUp(l, true)
 	n.Log.WithField("peer", l.host.Name).Info("link-up")
+	n.Receiver.LinkUp(l.host.Name)
 	err = n.write(conn.CloseRead(ctx), conn, l)
 	n.setUp(l, false)
 	n.Receiver.LinkLost(l.host.Name)
