--- a/core/world/serve.go
+++ b/core/world/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"shallotgap/core/ident"
@@ -58,6 +59,7 @@
 		return
 	}
 	w.forwards[r.ID] = forwarded{request: r, to: c.Owner, deadline: w.now.Add(r.Left), since: since}
+	w.noteSent(c.Endpoint)
 	w.emit(Effect{Forward: &Forward{Request: r, To: c.Owner, Endpoint: c.Endpoint}})
 }
 
@@ -87,21 +89,32 @@
 
 // choose returns the endpoint for a request and why.
 func (w *World) choose(r work.Request) (route.Candidate, route.Cause, bool) {
-	list := w.candidates(r)
+	r.Base = w.baseOf(r)
 	if r.Service != "" {
-		c, ok := route.LeastLoaded(list)
+		c, ok := route.LeastLoaded(w.candidates(r, w.index().plains[r.Service]))
 		return c, route.ByLoad, ok
 	}
-	return route.Choose(r.Model, list)
+	committed := w.holders(r.Model)
+	homes := w.index().homes.Rank(r.Model.Adapter, w.Params.Routing.Choices, func(id ident.EndpointID) bool {
+		e, ok := w.state.Owners.Get(id)
+		return ok && w.takes(e, r) && !slices.Contains(committed, id)
+	})
+	return route.Choose(r.Model, w.candidates(r, append(committed, homes...)), w.Params.Routing)
 }
 
-func (w *World) candidates(r work.Request) []route.Candidate {
-	var list []route.Candidate
-	for _, e := range w.state.Owners.List() {
-		if !w.takes(e, r) {
-			continue
+// baseOf returns the base model that the request's row names.
+func (w *World) baseOf(r work.Request) ident.Service {
+	row, _ := w.state.Rows.Get(rows.KeyOf(r.Workspace, r.Model.Adapter))
+	return row.Base
+}
+
+// candidates returns those of the endpoints that take the request, with what is known of their load.
+func (w *World) candidates(r work.Request, endpoints []ident.EndpointID) []route.Candidate {
+	list := make([]route.Candidate, 0, len(endpoints))
+	for _, id := range endpoints {
+		if e, ok := w.state.Owners.Get(id); ok && w.takes(e, r) {
+			list = append(list, w.candidate(e, r.Model))
 		}
-		list = append(list, w.candidate(e, r.Model))
 	}
 	return list
 }
@@ -114,21 +127,21 @@
 	if r.Service != "" {
 		return e.Kind == lease.Plain && e.Service == r.Service
 	}
-	return e.Kind == lease.Engine
+	return e.Kind == lease.Engine && (r.Base == "" || r.Base == e.Service)
 }
 
 func (w *World) candidate(e lease.Owned, m ident.Model) route.Candidate {
-	rep := w.reports[e.ID]
+	c := route.Candidate{Endpoint: e.ID, Owner: e.Owner, MaxRunning: e.MaxRunning}
 	if site := w.sites[e.ID]; site != nil {
-		rep = site.Report()
-	}
-	c := route.Candidate{Endpoint: e.ID, Owner: e.Owner, Running: rep.Running, Queued: rep.Queued, MaxRunning: e.MaxRunning}
-	for _, x := range rep.Resident {
-		c.Resident = c.Resident || x == m
-	}
-	for _, x := range rep.Loading {
-		c.Loading = c.Loading || x == m
+		c.Running, c.Queued = site.Running, len(site.Queue)
+		c.Resident, c.Loading, c.Waiting = site.Standing(m)
+		return c
 	}
+	rep := w.reports[e.ID]
+	c.Running, c.Queued, c.Sent = rep.Running, rep.Queued, w.sentLately(e.ID)
+	c.Resident = slices.Contains(rep.Resident, m)
+	c.Loading = slices.Contains(rep.Loading, m)
+	c.Waiting = slices.Contains(rep.Waiting, m)
 	return c
 }
 
@@ -139,12 +152,18 @@
 		w.refuse(r.ID, from, work.Refusal{Outcome: work.NotRun, Reason: work.NotOwner, Step: "queue", RetryAfter: RetryLater})
 		return
 	}
-	it := &place.Item{Request: r, From: from, Endpoint: e, Arrived: w.now, Deadline: w.now.Add(r.Left)}
+	it := &place.Item{Request: r, From: from, Endpoint: e, Arrived: w.now, Deadline: w.now.Add(r.Left), Weight: w.weightOf(r)}
 	w.items[r.ID] = it
 	site.Add(it)
 	w.note(r.ID, "queue", fmt.Sprintf("%d waiting, %d running", len(site.Queue)-1, site.Running), string(e))
 }
 
+// weightOf returns the weight of the request's row; 0 for a plain service, which has none.
+func (w *World) weightOf(r work.Request) uint32 {
+	row, _ := w.state.Rows.Get(rows.KeyOf(r.Workspace, r.Model.Adapter))
+	return row.Weight
+}
+
 // refuse gives a request its final answer.
 func (w *World) refuse(id ident.RequestID, to ident.HostID, r work.Refusal) {
 	delete(w.forwards, id)
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -14,6 +14,7 @@
 	"shallotgap/core/lease"
 	"shallotgap/core/place"
 	"shallotgap/core/quorum"
+	"shallotgap/core/route"
 	"shallotgap/core/state"
 	"shallotgap/core/wire"
 )
@@ -56,8 +57,12 @@
 	LongestRequest time.Duration
 	StoreRate      float64 // loads a second
 	StoreInFlight  int     // loads at once
-	KeyLife        time.Duration
-	CompactAfter   int // log entries between snapshots
+	// Policy weighs load stalls against batch efficiency.
+	Policy place.Policy
+	// Routing is the setting of the choice of endpoints.
+	Routing      route.Policy
+	KeyLife      time.Duration
+	CompactAfter int // log entries between snapshots
 	// Voters is the number of hosts that vote; further ones with a data folder stand by. 0 means all of them.
 	Voters int
 	// RepairAfter is how long a voter may be silent before a host that stands by takes its seat.
@@ -81,6 +86,8 @@
 		LongestRequest:  10 * time.Minute,
 		StoreRate:       2,
 		StoreInFlight:   8,
+		Policy:          place.DefaultPolicy(),
+		Routing:         route.DefaultPolicy(),
 		KeyLife:         24 * time.Hour,
 		CompactAfter:    4096,
 		RepairAfter:     30 * time.Second,
@@ -121,11 +128,15 @@
 	// open is the number of callers' requests at this host.
 	open int
 	// left and taken are the endpoints whose work is handed over; stray are the requests that run at endpoints given up.
-	left     map[ident.EndpointID]*leftSite
-	taken    map[ident.EndpointID]*takenSite
-	stray    map[ident.RequestID]bool
-	reports  map[ident.EndpointID]place.Report
+	left    map[ident.EndpointID]*leftSite
+	taken   map[ident.EndpointID]*takenSite
+	stray   map[ident.RequestID]bool
+	reports map[ident.EndpointID]place.Report
+	// holding are the endpoints of other hosts that have an adapter or will have it, by their reports.
+	holding  map[ident.Model][]ident.EndpointID
+	routes   *routeIndex
 	reportAt ident.Time
+	sending  map[ident.EndpointID]sending
 	sent     map[ident.EndpointID]string
 }
 
@@ -143,10 +154,12 @@
 		items:    map[ident.RequestID]*place.Item{},
 		forwards: map[ident.RequestID]forwarded{},
 		reports:  map[ident.EndpointID]place.Report{},
+		holding:  map[ident.Model][]ident.EndpointID{},
 		sent:     map[ident.EndpointID]string{},
 		left:     map[ident.EndpointID]*leftSite{},
 		taken:    map[ident.EndpointID]*takenSite{},
 		stray:    map[ident.RequestID]bool{},
+		sending:  map[ident.EndpointID]sending{},
 	}
 	if c.Stored == nil {
 		return w, nil
