Bound the series of the burn, order explanations strictly, answer operators' errors as problems

Cause: where no tokens are set, a caller may name any workspace, and each made a series in every host's memory. The order of an explanation compared notes of one host by one clock and of two hosts by another, which is no order. Errors towards operators were plain text. Ruled out: counting only workspaces that have rows (plain services have none). Conclusion: the memory of the burn has a limit whatever callers send.

--- a/core/burn/burn.go
+++ b/core/burn/burn.go
@@ -120,6 +120,12 @@
 	return &s.Slots[i]
 }
 
+// MaxSeries bounds the series of one book. Events of further workspaces count for OtherWorkspaces.
+const MaxSeries = 4096
+
+// OtherWorkspaces stands for the workspaces beyond MaxSeries.
+const OtherWorkspaces = ident.Workspace("(others)")
+
 type seriesKey struct {
 	workspace ident.Workspace
 	objective Objective
@@ -136,9 +142,12 @@
 
 func (b *Book) at(w ident.Workspace, o Objective) *Series {
 	k := seriesKey{w, o}
+	if b.series[k] == nil && len(b.series) >= MaxSeries {
+		k.workspace = OtherWorkspaces
+	}
 	s := b.series[k]
 	if s == nil {
-		s = &Series{Workspace: w, Objective: o}
+		s = &Series{Workspace: k.workspace, Objective: o}
 		b.series[k] = s
 	}
 	return s
--- a/core/burn/burn_test.go
+++ b/core/burn/burn_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"shallotgap/core/burn"
+	"shallotgap/core/ident"
 )
 
 func targets() burn.Targets {
@@ -86,6 +87,21 @@
 	assert.DeepEqual(t, merged.Report(3000), one.Report(3000))
 }
 
+// Callers may name any workspace where no tokens are set; what they name must not fill the memory.
+func TestWorkspacesAreBounded(t *testing.T) {
+	b := burn.New(targets())
+	for n := range 3 * burn.MaxSeries {
+		b.Add(1000, burn.Event{Workspace: ident.Workspace(fmt.Sprint("w", n)), Objective: burn.Answered})
+	}
+	lines := b.Report(1001)
+	assert.Equal(t, len(lines), burn.MaxSeries+1)
+	var events uint64
+	for _, l := range lines {
+		events += l.Events
+	}
+	assert.Equal(t, events, uint64(3*burn.MaxSeries))
+}
+
 func TestQuantile(t *testing.T) {
 	cases := map[string]struct {
 		values []time.Duration
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -13,6 +13,7 @@
 	"shallotgap/core/world"
 	"shallotgap/io/host"
 	"shallotgap/io/logs"
+	"shallotgap/io/texts"
 )
 
 // maxEdit is the largest body of an operator's request in bytes.
@@ -28,7 +29,11 @@
 
 // New returns a server in front of h.
 func New(common logs.Common, h *host.Host) *Server {
-	return &Server{Common: common, host: h, crossOrigin: http.NewCrossOriginProtection()}
+	c := http.NewCrossOriginProtection()
+	c.SetDenyHandler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fail(w, http.StatusForbidden, texts.CrossOrigin)
+	}))
+	return &Server{Common: common, host: h, crossOrigin: c}
 }
 
 // Register adds the server's paths to mux.
@@ -108,6 +113,7 @@
 // view fills out in the loop and writes it.
 func (s *Server) view(w http.ResponseWriter, r *http.Request, out any, fill func(*world.World)) {
 	if err := s.host.View(r.Context(), fill); err != nil {
+		fail(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
 	writeJSON(w, http.StatusOK, out)
@@ -176,7 +182,7 @@
 func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
 	id, err := ident.ParseRequestID(r.PathValue("id"))
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		fail(w, http.StatusBadRequest, err.Error())
 		return
 	}
 	notes := s.host.Notes(id)
@@ -188,7 +194,7 @@
 
 func read(w http.ResponseWriter, r *http.Request, v any) bool {
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxEdit)).Decode(v); err != nil {
-		http.Error(w, "bad JSON: "+err.Error(), http.StatusBadRequest)
+		fail(w, http.StatusBadRequest, "bad JSON: "+err.Error())
 		return false
 	}
 	return true
--- a/io/cmds/cmds.go
+++ b/io/cmds/cmds.go
@@ -67,12 +67,23 @@
 	}
 	name := ""
 	if node := ctx.Selected(); node != nil {
-		name = strings.TrimSpace(strings.TrimPrefix(node.Path(), "shallotgap"))
+		name = commandOf(node.Path())
 	}
 	_, err := fmt.Fprint(ctx.Stdout, texts.ExamplesOf(name))
 	return err
 }
 
+// commandOf returns the words of a command, such as "table put", from its path in the command line's model.
+func commandOf(path string) string {
+	var words []string
+	for _, w := range strings.Fields(strings.TrimPrefix(path, "shallotgap")) {
+		if !strings.HasPrefix(w, "<") && !strings.HasPrefix(w, "[") {
+			words = append(words, w)
+		}
+	}
+	return strings.Join(words, " ")
+}
+
 // Check is the command that checks a settings file.
 type Check struct {
 	Settings string `arg:"" help:"Settings file (INI)."`
--- a/io/cmds/explain.go
+++ b/io/cmds/explain.go
@@ -1,10 +1,10 @@
 package cmds
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"text/tabwriter"
+	"time"
 
 	"shallotgap/core/ident"
 	"shallotgap/io/host"
@@ -19,10 +19,9 @@
 
 // explained is what the explain command prints as JSON.
 type explained struct {
-	Request string                `json:"request"`
-	Notes   []host.Noted          `json:"notes"`
-	Silent  []ident.HostID        `json:"hosts-without-answer"`
-	hosts   []asked[[]host.Noted] // as they answered
+	Request string         `json:"request"`
+	Notes   []host.Noted   `json:"notes"`
+	Silent  []ident.HostID `json:"hosts-without-answer"`
 }
 
 // Run prints the decisions on the request in order, with their causes.
@@ -47,21 +46,24 @@
 	return silent(list)
 }
 
-// gather puts the notes of all hosts in the order of their wall clocks. Notes of one host keep their order.
+// gather puts the notes of all hosts in the order of their wall clocks. Notes of one host keep their order, also
+// when its wall clock was set back.
 func gather(request string, list []asked[[]host.Noted]) explained {
-	e := explained{Request: request, Notes: []host.Noted{}, Silent: []ident.HostID{}, hosts: list}
+	e := explained{Request: request, Notes: []host.Noted{}, Silent: []ident.HostID{}}
 	for _, a := range list {
 		if a.Err != "" {
 			e.Silent = append(e.Silent, a.Host.Host)
 		}
-		e.Notes = append(e.Notes, a.Answer...)
-	}
-	slices.SortStableFunc(e.Notes, func(x, y host.Noted) int {
-		if x.Host == y.Host {
-			return cmp.Compare(x.At, y.At)
+		var latest time.Time
+		for _, n := range a.Answer {
+			if n.Wall.Before(latest) {
+				n.Wall = latest
+			}
+			latest = n.Wall
+			e.Notes = append(e.Notes, n)
 		}
-		return x.Wall.Compare(y.Wall)
-	})
+	}
+	slices.SortStableFunc(e.Notes, func(x, y host.Noted) int { return x.Wall.Compare(y.Wall) })
 	return e
 }
 
--- a/io/texts/examples.go
+++ b/io/texts/examples.go
@@ -1,5 +1,7 @@
 package texts
 
+import "strings"
+
 // About tells what the program is.
 const About = `Serves very many LoRA adapters over shared base models.
 
@@ -39,6 +41,18 @@
 shallotgap report --html >report.html`,
 }
 
+// ExampleArgs returns the arguments of all examples by command, without redirections, for tests of the command line.
+func ExampleArgs() map[string][][]string {
+	all := map[string][][]string{}
+	for command, text := range examples {
+		for _, line := range strings.Split(text, "\n") {
+			line, _, _ = strings.Cut(line, " >")
+			all[command] = append(all[command], strings.Fields(line)[1:])
+		}
+	}
+	return all
+}
+
 // ExamplesOf returns the examples of a command, such as "table put", ready to print.
 func ExamplesOf(command string) string {
 	text, ok := examples[command]
--- a/io/texts/texts_test.go
+++ b/io/texts/texts_test.go
@@ -16,10 +16,10 @@
 
 // Every reason for a refusal has its words for callers.
 func TestEveryReasonHasATitle(t *testing.T) {
-	reasons := reasonsOf(t)
+	reasons := constantsOf(t, "../../core/work/work.go", "Reason")
 	assert.Assert(t, len(reasons) > 10, "found %d reasons", len(reasons))
 	for _, r := range reasons {
-		assert.Assert(t, Titles[r] != "", "reason %s has no title", r)
+		assert.Assert(t, Titles[work.Reason(r)] != "", "reason %s has no title", r)
 	}
 }
 
@@ -27,7 +27,7 @@
 func TestEveryCauseIsDocumented(t *testing.T) {
 	data, err := os.ReadFile("../../docs/OPERATING.md")
 	assert.NilError(t, err)
-	for _, r := range reasonsOf(t) {
+	for _, r := range constantsOf(t, "../../core/work/work.go", "Reason") {
 		assert.Assert(t, strings.Contains(string(data), "`"+string(r)+"`"), "reason %s is not in docs/OPERATING.md", r)
 	}
 }
@@ -45,21 +45,28 @@
 	}
 }
 
-// reasonsOf reads the constants of type Reason from the source of package work.
-func reasonsOf(t *testing.T) []work.Reason {
+// Every cause of a choice of endpoint is explained in plain words.
+func TestEveryRouteCauseIsExplained(t *testing.T) {
+	for _, c := range constantsOf(t, "../../core/route/route.go", "Cause") {
+		assert.Assert(t, causes[c] != "", "cause %s has no words", c)
+	}
+}
+
+// constantsOf reads the constants of a type from a source file.
+func constantsOf(t *testing.T, path, kind string) []string {
 	t.Helper()
-	file, err := parser.ParseFile(token.NewFileSet(), "../../core/work/work.go", nil, 0)
+	file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
 	assert.NilError(t, err)
-	var list []work.Reason
+	var list []string
 	ast.Inspect(file, func(n ast.Node) bool {
 		spec, ok := n.(*ast.ValueSpec)
 		if !ok || len(spec.Values) != 1 {
 			return true
 		}
-		if kind, named := spec.Type.(*ast.Ident); named && kind.Name == "Reason" {
+		if name, named := spec.Type.(*ast.Ident); named && name.Name == kind {
 			text, err := strconv.Unquote(spec.Values[0].(*ast.BasicLit).Value)
 			assert.NilError(t, err)
-			list = append(list, work.Reason(text))
+			list = append(list, text)
 		}
 		return true
 	})
