--- a/core/world/control.go
+++ b/core/world/control.go
@@ -172,17 +172,18 @@
 	}
 }
 
-// leaderTargets returns the leader, and one further voter while the lease is about to lapse or no leader is known.
+// leaderTargets returns the leader, and all voters while the lease is about to lapse or no leader is known: trying
+// them one by one takes longer than a lease lasts.
 func (w *World) leaderTargets() []ident.HostID {
 	var list []ident.HostID
 	if w.leader != "" {
 		list = append(list, w.leader)
 	}
 	if w.leader == "" || w.now.Add(w.Params.Lease.Length/2) > w.holder.Until() {
-		disks := w.diskHosts()
-		w.leaderTry++
-		if next := disks[w.leaderTry%len(disks)]; next != w.leader {
-			list = append(list, next)
+		for _, h := range w.diskHosts() {
+			if h != w.leader {
+				list = append(list, h)
+			}
 		}
 	}
 	return list
@@ -226,7 +227,7 @@
 	}
 	delete(w.pending, a.Ticket)
 	if p.purpose.back != nil {
-		w.passBack(p.purpose.back.item, p.purpose.back.refusal)
+		w.released(p.purpose.back)
 		return
 	}
 	if p.purpose.request {
--- a/core/world/leave.go
+++ b/core/world/leave.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -38,26 +39,69 @@
 // ending reports whether an endpoint of this host takes no new work.
 func (w *World) ending(site *place.Site) bool { return w.state.Stops.EndpointStops(site.Endpoint) }
 
-// clearQueue sends back what waits at an endpoint and has not been sent to it. A claimed request goes back only
-// after its claim was released by a majority; one whose claim is under way follows when that has ended.
+// clearQueue sends back what waits at an endpoint and has not been sent to it.
 func (w *World) clearQueue(site *place.Site, reason work.Reason) {
 	for _, it := range slices.Clone(site.Queue) {
-		if !it.Claiming {
-			w.sendBack(it, reason)
-		}
+		w.sendBack(it, reason)
 	}
 }
 
-// sendBack takes a request that was not dispatched out of its endpoint and returns it to its entry host.
+// sendBack takes a request that was not dispatched out of its endpoint and returns it to its entry host. A claimed
+// request goes back only after its claim was released by a majority; one whose claim is under way waits for that.
 func (w *World) sendBack(it *place.Item, reason work.Reason) {
 	w.drop(it)
 	r := work.Refusal{Outcome: work.NotRun, Reason: reason, Step: "queue", Peer: string(it.Endpoint), RetryAfter: RetryLater}
-	if it.Claimed {
-		c := w.closing(openOf(it), claim.Released, nil)
-		w.propose(c, purpose{back: &backward{item: it, refusal: r}})
+	switch {
+	case it.Claiming:
+		w.backs[it.ID] = &backward{item: it, refusal: r}
+	case it.Claimed:
+		w.release(&backward{item: it, refusal: r})
+	default:
+		w.passBack(it, r)
+	}
+}
+
+func (w *World) release(b *backward) {
+	w.backs[b.item.ID] = b
+	w.propose(closing(w.openOf(b.item), claim.Released, nil), purpose{back: b})
+}
+
+// released sends a request back whose claim was released, unless its time was over before.
+func (w *World) released(b *backward) {
+	if w.backs[b.item.ID] != b {
 		return
 	}
-	w.passBack(it, r)
+	delete(w.backs, b.item.ID)
+	w.passBack(b.item, b.refusal)
+}
+
+// claimedBack takes the answer to the claim of a request that is to go back, and reports whether it was one.
+func (w *World) claimedBack(o claim.Open, res claim.Result) bool {
+	b := w.backs[o.Request]
+	if b == nil {
+		return false
+	}
+	if res.Granted {
+		w.release(b)
+		return true
+	}
+	delete(w.backs, o.Request)
+	w.refuse(o.Request, b.item.From, claimRefusal(res))
+	return true
+}
+
+// expireBacks refuses requests whose time is over before their claim was released. Their claim is released all the
+// same: nothing of them was sent.
+func (w *World) expireBacks() {
+	for _, id := range slices.SortedFunc(maps.Keys(w.backs), compareRequests) {
+		b := w.backs[id]
+		if w.now < b.item.Deadline {
+			continue
+		}
+		delete(w.backs, id)
+		b.refusal.Reason = work.NoQuorum
+		w.refuse(id, b.item.From, b.refusal)
+	}
 }
 
 // backward is a request that goes back to its entry host once its claim is released.
@@ -128,6 +172,7 @@
 
 // unreturn forgets a returned request whose caller has gone.
 func (w *World) unreturn(id ident.RequestID) {
+	delete(w.backs, id)
 	w.returned = slices.DeleteFunc(w.returned, func(r returned) bool { return r.request.ID == id })
 }
 
--- a/core/world/serve.go
+++ b/core/world/serve.go
@@ -45,7 +45,12 @@
 	}
 	c, cause, ok := w.choose(a.Request)
 	if !ok {
-		w.refuse(a.Request.ID, a.From, work.Refusal{Outcome: work.NotRun, Reason: work.NoEndpoint, Step: "route", RetryAfter: RetryLater})
+		r := work.Refusal{Outcome: work.NotRun, Reason: work.NoEndpoint, Step: "route", RetryAfter: RetryLater}
+		if w.moving(a.Request) {
+			w.takeBack(a.Request, w.now.Add(a.Request.Left), w.now, r)
+			return
+		}
+		w.refuse(a.Request.ID, a.From, r)
 		return
 	}
 	w.note(a.Request.ID, "route", string(cause), string(c.Endpoint))
@@ -121,7 +126,21 @@
 
 // takes reports whether an endpoint serves the request's kind and takes new work.
 func (w *World) takes(e lease.Owned, r work.Request) bool {
-	if e.Owner == "" || w.state.Stops.EndpointStops(e.Endpoint) {
+	return e.Owner != "" && w.serves(e, r)
+}
+
+// moving reports whether an endpoint for the request only lacks its next owner.
+func (w *World) moving(r work.Request) bool {
+	for _, e := range w.state.Owners.All() {
+		if e.Owner == "" && w.serves(e, r) {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *World) serves(e lease.Owned, r work.Request) bool {
+	if w.state.Stops.EndpointStops(e.Endpoint) {
 		return false
 	}
 	if r.Service != "" {
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -63,7 +63,8 @@
 	Routing      route.Policy
 	KeyLife      time.Duration
 	CompactAfter int // log entries between snapshots
-	// Voters is the number of hosts that vote; further ones with a data folder stand by. 0 means all of them.
+	// Voters is the number of hosts that vote; further ones with a data folder stand by. 0 means the largest of 1, 3
+	// and 5 that the disks allow.
 	Voters int
 	// RepairAfter is how long a voter may be silent before a host that stands by takes its seat.
 	RepairAfter time.Duration
@@ -110,8 +111,6 @@
 	down   []ident.HostID
 	lead   *leadership // nil while another host leads
 	leader ident.HostID
-	// leaderTry walks the hosts while no leader is known.
-	leaderTry int
 	// compacting is set while a snapshot is being encoded.
 	compacting bool
 
@@ -128,9 +127,11 @@
 	// open is the number of callers' requests at this host.
 	open int
 	// left and taken are the endpoints whose work is handed over; stray are the requests that run at endpoints given up.
-	left    map[ident.EndpointID]*leftSite
-	taken   map[ident.EndpointID]*takenSite
-	stray   map[ident.RequestID]bool
+	left  map[ident.EndpointID]*leftSite
+	taken map[ident.EndpointID]*takenSite
+	stray map[ident.RequestID]bool
+	// backs are the requests that go back to their entry host once their claim is released.
+	backs   map[ident.RequestID]*backward
 	reports map[ident.EndpointID]place.Report
 	// holding are the endpoints of other hosts that have an adapter or will have it, by their reports.
 	holding  map[ident.Model][]ident.EndpointID
@@ -160,6 +161,9 @@
 		taken:    map[ident.EndpointID]*takenSite{},
 		stray:    map[ident.RequestID]bool{},
 		sending:  map[ident.EndpointID]sending{},
+		backs:    map[ident.RequestID]*backward{},
+		// Tickets of two runs never meet, so that a late answer to the earlier run matches nothing.
+		tickets: Ticket(c.Incarnation),
 	}
 	if c.Stored == nil {
 		return w, nil
@@ -256,6 +260,7 @@
 	w.resend()
 	w.reroute()
 	w.handOver()
+	w.expireBacks()
 	w.tickLeader()
 	w.tickSites()
 	w.expire()
--- a/fakes/fleet/fleet.go
+++ b/fakes/fleet/fleet.go
@@ -17,6 +17,7 @@
 	"shallotgap/core/world"
 	"shallotgap/fakes/stand"
 	"shallotgap/io/conf"
+	"shallotgap/io/disk"
 	"shallotgap/io/host"
 	"shallotgap/io/logs"
 	"shallotgap/io/serve"
@@ -32,6 +33,8 @@
 	// Logs receives the hosts' log lines; nil drops them.
 	Logs io.Writer
 	Seed uint64
+	// WrapLog, if set, stands before the log file of a host.
+	WrapLog func(h ident.HostID, f disk.File) disk.File
 }
 
 // Fleet is a running deployment.
@@ -56,6 +59,7 @@
 	conf.Host
 	settings conf.Settings
 	stop     context.CancelFunc
+	drain    chan struct{}
 	done     chan struct{}
 	// Err is why the host ended; read it after Kill.
 	Err error
@@ -116,6 +120,9 @@
 	for _, h := range hosts {
 		s := conf.Defaults()
 		s.Name, s.Domain, s.Hosts, s.Params = h.Name, h.Domain, hosts, f.Params
+		if f.Params.EntryLife > 0 {
+			s.EntryLife = f.Params.EntryLife
+		}
 		if h.Disk {
 			s.DataFolder = filepath.Join(f.Folder, string(h.Name))
 		}
@@ -136,7 +143,12 @@
 	ctx, stop := context.WithCancel(f.ctx)
 	h.stop = stop
 	h.done = make(chan struct{})
-	c := host.Config{Settings: h.settings, Callers: callers, Peers: peers, Seed: f.Seed, Dial: f.dialFrom(h.Name)}
+	h.drain = make(chan struct{})
+	wrap := f.WrapLog
+	c := host.Config{Stop: h.drain, Settings: h.settings, Callers: callers, Peers: peers, Seed: f.Seed, Dial: f.dialFrom(h.Name)}
+	if wrap != nil {
+		c.WrapLog = func(file disk.File) disk.File { return wrap(h.Name, file) }
+	}
 	f.wait.Go(func() {
 		h.Err = serve.Run(ctx, common, c)
 		_ = callers.Close()
@@ -152,6 +164,22 @@
 	<-h.done
 }
 
+// Drain tells a host to stop, as SIGTERM does, and waits until it has ended.
+func (f *Fleet) Drain(h *Host) {
+	close(h.drain)
+	<-h.done
+}
+
+// Ended reports whether a host has ended by itself.
+func (h *Host) Ended() bool {
+	select {
+	case <-h.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Restart starts a killed host again at its old addresses.
 func (f *Fleet) Restart(h *Host) error {
 	callers, err := net.Listen("tcp", h.Listen)
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -28,6 +28,11 @@
 	Params world.Params
 	// EntryLife is how long callers may keep an answer to GET /v1/entries.
 	EntryLife time.Duration
+	// DrainTimeout bounds the drain of a process that is told to stop.
+	DrainTimeout time.Duration
+	// Trace is the file that the inputs of the decisions are recorded to, at most TraceBytes; empty for none.
+	Trace      string
+	TraceBytes int64
 	// Objectives are the service levels that the burn report measures against.
 	Objectives burn.Targets
 }
@@ -75,15 +80,16 @@
 
 // Defaults returns the settings that hold where a file names none.
 func Defaults() Settings {
-	return Settings{LogLevel: "info", Params: world.Defaults(), EntryLife: 5 * time.Second, Objectives: burn.Defaults()}
+	return Settings{LogLevel: "info", Params: world.Defaults(), EntryLife: 5 * time.Second, DrainTimeout: 30 * time.Second, TraceBytes: 256 << 20, Objectives: burn.Defaults()}
 }
 
 // known are the keys of each section; "host.*" stands for every section of one entry host.
 var known = map[string][]string{
-	"self":    {"name", "data-folder", "log-level"},
+	"self":    {"name", "data-folder", "log-level", "drain-timeout", "trace", "trace-bytes"},
 	"host.*":  {"domain", "listen", "peer", "disk"},
 	"callers": {"entry-life"},
 	"store":   {"loads-per-second", "loads-in-flight"},
+	"quorum":  {"voters", "repair-after"},
 	// The keys of [objectives] follow from the objectives of package burn.
 	"objectives": objectiveKeys(),
 }
@@ -120,12 +126,17 @@
 	s.Name = ident.HostID(self.Key("name").String())
 	s.DataFolder = self.Key("data-folder").String()
 	s.LogLevel = self.Key("log-level").MustString(s.LogLevel)
+	s.DrainTimeout = r.duration("self", "drain-timeout", s.DrainTimeout)
+	s.Trace = self.Key("trace").String()
+	s.TraceBytes = int64(r.int("self", "trace-bytes", int(s.TraceBytes)))
 	if _, err := log.ParseLevel(s.LogLevel); err != nil {
 		r.fail("self", "log-level", "want debug, info, warn, error or fatal")
 	}
 	s.EntryLife = r.duration("callers", "entry-life", s.EntryLife)
 	s.Params.EntryLife = s.EntryLife
 	s.Params.StoreRate = r.float("store", "loads-per-second", s.Params.StoreRate)
+	s.Params.Voters = r.int("quorum", "voters", s.Params.Voters)
+	s.Params.RepairAfter = r.duration("quorum", "repair-after", s.Params.RepairAfter)
 	s.Params.StoreInFlight = r.int("store", "loads-in-flight", s.Params.StoreInFlight)
 	s.Objectives = r.objectives(s.Objectives)
 	s.Hosts = r.hosts()
@@ -224,6 +235,9 @@
 			disks++
 		}
 	}
+	if v := s.Params.Voters; v != 0 && ((v != 1 && v != 3 && v != 5) || v > disks) {
+		r.fail("quorum", "voters", fmt.Sprintf("%d: want 1, 3 or 5, and at least as many hosts with disk = true (%d)", v, disks))
+	}
 	if disks < 3 && disks != 1 {
 		r.fail("host.*", "disk", fmt.Sprintf("%d hosts have disk = true; want 1, or 3 and more", disks))
 	}
