--- a/io/cmds/replay.go
+++ b/io/cmds/replay.go
@@ -10,7 +10,7 @@
 
 // Replay is the command that replays a recorded trace.
 type Replay struct {
-	File    string `arg:"" type:"existingfile" help:"Trace file, as the setting [self] trace names it."`
+	File    string `arg:"" help:"Trace file, as the setting [self] trace names it."`
 	Explain string `help:"Print the decisions on this request id."`
 	JSON    bool   `help:"Print JSON with kebab-case names." name:"json"`
 }
@@ -28,7 +28,7 @@
 func (c *Replay) Run(env *Env) error {
 	f, err := os.Open(c.File)
 	if err != nil {
-		return err
+		return coded(Usage, err)
 	}
 	defer func() { _ = f.Close() }()
 	r, err := trace.NewReader(f)
--- a/io/texts/examples.go
+++ b/io/texts/examples.go
@@ -36,6 +36,8 @@
 	"status": `shallotgap status
 shallotgap status --json`,
 	"explain": "shallotgap explain e1.18bd9de1ea6e4a3d.1",
+	"replay": `shallotgap replay e1.trace
+shallotgap replay e1.trace --explain e1.18bd9de1ea6e4a3d.1`,
 	"report": `shallotgap report
 shallotgap report --workspace dairy --json
 shallotgap report --html >report.html`,
