--- a/io/texts/examples.go
+++ b/io/texts/examples.go
@@ -1,5 +1,7 @@
 package texts
 
+import "strings"
+
 // About tells what the program is.
 const About = `Serves very many LoRA adapters over shared base models.
 
@@ -34,11 +36,25 @@
 	"status": `shallotgap status
 shallotgap status --json`,
 	"explain": "shallotgap explain e1.18bd9de1ea6e4a3d.1",
+	"replay": `shallotgap replay e1.trace
+shallotgap replay e1.trace --explain e1.18bd9de1ea6e4a3d.1`,
 	"report": `shallotgap report
 shallotgap report --workspace dairy --json
 shallotgap report --html >report.html`,
 }
 
+// ExampleArgs returns the arguments of all examples by command, without redirections, for tests of the command line.
+func ExampleArgs() map[string][][]string {
+	all := map[string][][]string{}
+	for command, text := range examples {
+		for _, line := range strings.Split(text, "\n") {
+			line, _, _ = strings.Cut(line, " >")
+			all[command] = append(all[command], strings.Fields(line)[1:])
+		}
+	}
+	return all
+}
+
 // ExamplesOf returns the examples of a command, such as "table put", ready to print.
 func ExamplesOf(command string) string {
 	text, ok := examples[command]
