Judge unrepeatable requests under loss at every step by the endpoint's own count

Cause: nothing showed end to end that a release runs at most once.

The fake engine counts the runs of a key, and ends its answers when its callers go: its batch loop could stand still at the end of a test, which hung it. A broken link's refusal says Retry-After.

--- a/fakes/stand/complete.go
+++ b/fakes/stand/complete.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"iter"
 	"net/http"
 	"strings"
 )
@@ -48,6 +49,7 @@
 		http.Error(w, "adapter not loaded: "+c.Model, http.StatusNotFound)
 		return
 	}
+	e.run(r.Header.Get("Idempotency-Key"))
 	c.id = e.answerID(r)
 	if e.take(func(f *Faults) *int { return &f.WrongModel }) {
 		c.Model = "wrong@v0"
@@ -94,9 +96,26 @@
 	return piece{ID: c.id, Object: "text_completion", Model: c.Model, Choices: []choice{{Text: text}}}
 }
 
+// all yields the tokens until the sequence ends, breaks or its caller goes, also when no step runs any more.
+func (s *sequence) all() iter.Seq[int] {
+	return func(yield func(int) bool) {
+		for {
+			select {
+			case n, ok := <-s.tokens:
+				if !ok || !yield(n) {
+					return
+				}
+			case <-s.gone:
+				s.broken.Store(true)
+				return
+			}
+		}
+	}
+}
+
 func (e *Engine) whole(w http.ResponseWriter, c completion, s *sequence) {
 	var text strings.Builder
-	for n := range s.tokens {
+	for n := range s.all() {
 		_, _ = fmt.Fprintf(&text, "t%d ", n)
 	}
 	if s.broken.Load() || e.take(func(f *Faults) *int { return &f.ReadClose }) {
@@ -109,7 +128,7 @@
 func (e *Engine) stream(w http.ResponseWriter, c completion, s *sequence) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	truncate := e.take(func(f *Faults) *int { return &f.Truncate })
-	for n := range s.tokens {
+	for n := range s.all() {
 		data, err := json.Marshal(e.piece(c, fmt.Sprintf("t%d ", n)))
 		if err != nil {
 			return
--- a/fakes/stand/engine.go
+++ b/fakes/stand/engine.go
@@ -31,6 +31,7 @@
 type Engine struct {
 	EngineConfig
 	Switches
+	runs
 	engineMu sync.Mutex
 	instance uint64
 	fence    uint64
@@ -65,6 +66,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /faults", e.setFaults)
 	mux.HandleFunc("GET /state", e.state)
+	mux.HandleFunc("GET /counts", e.list)
 	mux.HandleFunc("GET /v1/models", e.state)
 	mux.HandleFunc("POST /v1/load_lora_adapter", e.load)
 	mux.HandleFunc("POST /v1/unload_lora_adapter", e.unload)
--- a/fakes/stand/plain.go
+++ b/fakes/stand/plain.go
@@ -20,14 +20,45 @@
 type Plain struct {
 	PlainConfig
 	Switches
+	runs
+	instance uint64
+}
+
+// runs counts how often each key ran.
+type runs struct {
 	countsMu sync.Mutex
 	counts   map[string]int
-	instance uint64
+}
+
+// run counts a run of a key and returns how often it has run.
+func (c *runs) run(key string) int {
+	c.countsMu.Lock()
+	defer c.countsMu.Unlock()
+	if key == "" {
+		return 0
+	}
+	if c.counts == nil {
+		c.counts = map[string]int{}
+	}
+	c.counts[key]++
+	return c.counts[key]
+}
+
+// Counts returns how often each key ran.
+func (c *runs) Counts() map[string]int {
+	c.countsMu.Lock()
+	defer c.countsMu.Unlock()
+	return maps.Clone(c.counts)
+}
+
+// list answers with the number of runs of every key.
+func (c *runs) list(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(c.Counts())
 }
 
 // NewPlain returns a service that has run nothing.
 func NewPlain(c PlainConfig) *Plain {
-	return &Plain{PlainConfig: c, counts: map[string]int{}, instance: uint64(time.Now().UnixNano())}
+	return &Plain{PlainConfig: c, instance: uint64(time.Now().UnixNano())}
 }
 
 // plainBatch is the number of calls that a plain service takes at once.
@@ -47,13 +78,6 @@
 	return mux
 }
 
-// Counts returns how often each key ran.
-func (s *Plain) Counts() map[string]int {
-	s.countsMu.Lock()
-	defer s.countsMu.Unlock()
-	return maps.Clone(s.counts)
-}
-
 // call runs the request, counting its key.
 func (s *Plain) call(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
@@ -65,20 +89,10 @@
 		hangUp()
 	}
 	key := r.Header.Get("Idempotency-Key")
-	s.countsMu.Lock()
-	if key != "" {
-		s.counts[key]++
-	}
-	runs := s.counts[key]
-	s.countsMu.Unlock()
+	runs := s.run(key)
 	if s.take(func(f *Faults) *int { return &f.ReadClose }) {
 		hangUp()
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{"by": s.ID, "path": r.URL.Path, "key": key, "runs": runs, "bytes": len(body)})
 }
-
-// list answers with the number of runs of every key.
-func (s *Plain) list(w http.ResponseWriter, _ *http.Request) {
-	_ = json.NewEncoder(w).Encode(s.Counts())
-}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -3,6 +3,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"shallotgap/core/ident"
 	"shallotgap/core/work"
@@ -159,6 +160,9 @@
 	}
 }
 
+// retryAfterLoss is when a caller may ask again after its answer broke off.
+const retryAfterLoss = time.Second
+
 func broken(id ident.RequestID, step string) Chunk {
-	return Chunk{ID: id, Refusal: &work.Refusal{Outcome: work.InDoubt, Reason: work.LinkLost, Step: step}}
+	return Chunk{ID: id, Refusal: &work.Refusal{Outcome: work.InDoubt, Reason: work.LinkLost, Step: step, RetryAfter: retryAfterLoss}}
 }
