--- a/core/claim/once_test.go
+++ b/core/claim/once_test.go
@@ -18,6 +18,8 @@
 
 func TestKeyRunsAtMostOnce(t *testing.T) {
 	first, second := until("k", 1, 100), until("k", 2, 200)
+	again := first
+	again.Try, again.Holder.Host = 1, "e2"
 	cases := map[string]struct {
 		before func(b *claim.Book)
 		open   claim.Open
@@ -37,6 +39,14 @@
 			before: func(b *claim.Book) { b.Open(first); b.Close(end(first, claim.Released)) },
 			open:   first, want: claim.Result{Record: &claim.Record{Open: first, State: claim.Released}},
 		},
+		"released, then claimed by a later try": {
+			before: func(b *claim.Book) { b.Open(first); b.Close(end(first, claim.Released)) },
+			open:   again, want: claim.Result{Granted: true},
+		},
+		"another holder while the first one may send": {
+			before: func(b *claim.Book) { b.Open(first) },
+			open:   again, want: claim.Result{Record: &claim.Record{Open: first, State: claim.Claimed}},
+		},
 		"its time is over": {
 			before: func(b *claim.Book) { b.Expire(100) }, open: first, want: claim.Result{Late: true},
 		},
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -24,6 +24,10 @@
 	Sent        ident.Time        `json:"sent"`
 	Incarnation ident.Incarnation `json:"incarnation"`
 	Applied     ident.Index       `json:"applied"`
+	// Busy is the number of requests that the host serves for callers or runs at endpoints.
+	Busy int `json:"busy,omitempty"`
+	// Working are the endpoints that take no new work and at which requests of this host still run.
+	Working []ident.EndpointID `json:"working,omitempty"`
 }
 
 // Renewed is the leader's reply to Renew.
@@ -52,6 +56,9 @@
 // Until returns the reading at which the lease ends.
 func (h *Holder) Until() ident.Time { return h.until }
 
+// Hasten makes the next renewal due at once, so that the leader learns what this host has applied.
+func (h *Holder) Hasten() { h.renewAt = 0 }
+
 // Due returns the renewal to send at now, or nil when none is due.
 func (h *Holder) Due(now ident.Time, applied ident.Index) *Renew {
 	if now < h.renewAt {
@@ -75,6 +82,7 @@
 	incarnation ident.Incarnation
 	applied     ident.Index
 	renewed     bool
+	last        Renew
 }
 
 // Granter is the leader's view of all leases. It is made anew with every term.
@@ -97,8 +105,14 @@
 		c = &client{}
 		g.hosts[h] = c
 	}
-	c.applied = r.Applied
+	c.last = r
 	reply := Renewed{Sent: r.Sent, Incarnation: r.Incarnation}
+	if r.Incarnation < c.incarnation && g.Alive(h, now) {
+		// A late message of an earlier run, or a wall clock that went back; the lease of the other run passes first.
+		reply.Refused = true
+		return reply
+	}
+	c.applied = r.Applied
 	if behind > g.Spread {
 		reply.Refused = true
 		return reply
@@ -135,6 +149,23 @@
 	return list
 }
 
+// Last returns the latest renewal of h, and whether its lease may still run.
+func (g *Granter) Last(h ident.HostID, now ident.Time) (Renew, bool) {
+	c := g.hosts[h]
+	if c == nil {
+		return Renew{}, false
+	}
+	return c.last, g.Alive(h, now)
+}
+
+// Silent returns for how long h has not renewed with this leader.
+func (g *Granter) Silent(h ident.HostID, now ident.Time) time.Duration {
+	if c := g.hosts[h]; c != nil && c.renewed {
+		return now.Sub(c.heard)
+	}
+	return now.Sub(g.since)
+}
+
 // Applied returns the index that h said it had applied, and whether its lease may still run.
 func (g *Granter) Applied(h ident.HostID, now ident.Time) (ident.Index, bool) {
 	c := g.hosts[h]
--- /dev/null
+++ b/core/place/evict.go
@@ -0,0 +1,107 @@
+package place
+
+import (
+	"slices"
+
+	"shallotgap/core/ident"
+	"shallotgap/core/lease"
+	"shallotgap/core/work"
+)
+
+// Wants returns the wishes for the adapters that queued requests wait for and that are neither resident nor loading,
+// in the order in which their first requests go.
+func (s *Site) Wants(now ident.Time) []Want {
+	if s.Kind != lease.Engine {
+		return nil
+	}
+	var list []Want
+	for _, it := range s.heads() {
+		if _, ok := s.Room(it.Urgency, now); ok {
+			list = append(list, s.want(it, now))
+		}
+	}
+	return list
+}
+
+// heads returns the first waiting request of each adapter that is neither resident nor loading, in order.
+func (s *Site) heads() []*Item {
+	var heads []*Item
+	for m, group := range s.groups {
+		if s.Slots[m] == nil {
+			heads = append(heads, group[0])
+		}
+	}
+	slices.SortFunc(heads, compareItems)
+	return heads
+}
+
+// want describes the requests that wait for the adapter of head, the first of them.
+func (s *Site) want(head *Item, now ident.Time) Want {
+	group := s.groups[head.Model]
+	w := Want{Endpoint: s.ID, Model: head.Model, Waiting: len(group), Urgency: head.Urgency, Slack: head.Deadline.Sub(now)}
+	for _, it := range group {
+		w.Weight += it.weight()
+		if it.Urgency == head.Urgency {
+			w.Slack = min(w.Slack, it.Deadline.Sub(now))
+		}
+	}
+	return w
+}
+
+// Wanted reports whether requests wait for an adapter that is neither resident nor loading.
+func (s *Site) Wanted(m ident.Model) bool { return s.Slots[m] == nil && len(s.groups[m]) > 0 }
+
+// Room returns whether a load for requests of the urgency can start, and the adapter to evict for it, if any.
+func (s *Site) Room(u work.Urgency, now ident.Time) (evict *ident.Model, ok bool) {
+	if len(s.Slots) < s.Owned.Slots && !s.crowded(u) {
+		return nil, true
+	}
+	var victim *Slot
+	for _, slot := range s.Slots {
+		if !s.evictable(slot, u, now) {
+			continue
+		}
+		if victim == nil || goesBefore(slot, victim) {
+			victim = slot
+		}
+	}
+	if victim == nil {
+		return nil, false
+	}
+	return &victim.Model, true
+}
+
+// crowded reports whether requests of the urgency have as many slots as they may.
+func (s *Site) crowded(u work.Urgency) bool {
+	return u == work.Bulk && s.bulkSlots() >= max(1, s.Owned.Slots-s.UrgentSlots)
+}
+
+// evictable reports whether a slot may be given up for requests of the urgency.
+func (s *Site) evictable(slot *Slot, u work.Urgency, now ident.Time) bool {
+	if now < s.FrozenUntil || slot.Pins > 0 || slot.Loading || s.awaited(slot) {
+		return false
+	}
+	return slot.Bulk || !s.crowded(u)
+}
+
+// awaited reports whether requests wait for the slot's adapter that the slot still takes.
+func (s *Site) awaited(slot *Slot) bool { return !slot.Closed && len(s.groups[slot.Model]) > 0 }
+
+// bulkSlots counts the slots that only bulk requests use.
+func (s *Site) bulkSlots() int {
+	n := 0
+	for _, slot := range s.Slots {
+		if slot.Bulk {
+			n++
+		}
+	}
+	return n
+}
+
+// goesBefore reports whether x is evicted before y.
+func goesBefore(x, y *Slot) bool {
+	if x.LastUse != y.LastUse {
+		return x.LastUse < y.LastUse
+	}
+	return compareModels(x.Model, y.Model) < 0
+}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -9,20 +9,6 @@
 	"shallotgap/core/work"
 )
 
-// Item is a request at its owner.
-type Item struct {
-	work.Request
-	// From is the entry host that the caller is connected to.
-	From     ident.HostID
-	Endpoint ident.EndpointID
-	Arrived  ident.Time
-	Deadline ident.Time
-	// Claimed is set once the claim of an unrepeatable request is committed.
-	Claimed  bool
-	Claiming bool
-	Running  bool
-}
-
 // Slot is an adapter on an engine.
 type Slot struct {
 	Model   ident.Model
@@ -30,23 +16,37 @@
 	// Pins counts the requests running on the adapter; a pinned one is never evicted.
 	Pins    int
 	LastUse ident.Time
+	// Bulk is true while only bulk requests have used the adapter since its load.
+	Bulk bool
+	// Closed slots start no further requests, so that another adapter gets its turn.
+	Closed bool
+	// GrantedAt and ResidentAt are when the load began and ended; 0 when the adapter was found resident.
+	GrantedAt  ident.Time
+	ResidentAt ident.Time
 }
 
 // Site is an owned endpoint with what its owner knows of it.
 type Site struct {
 	lease.Owned
+	Policy
 	Slots   map[ident.Model]*Slot
 	Running int
-	Queue   []*Item
+	// BulkRunning counts the bulk requests among Running.
+	BulkRunning int
+	// Queue holds the waiting requests in order of arrival.
+	Queue []*Item
 	// Heard is when the endpoint last announced itself.
 	Heard ident.Time
 	// FrozenUntil bars evictions after a take-over, while requests of the former owner may run.
 	FrozenUntil ident.Time
+
+	groups map[ident.Model][]*Item // the waiting requests of each adapter, in the order in which they go
+	seq    uint64
 }
 
 // NewSite returns a site taken over at now.
-func NewSite(o lease.Owned, now, frozenUntil ident.Time) *Site {
-	return &Site{Owned: o, Slots: map[ident.Model]*Slot{}, Heard: now, FrozenUntil: frozenUntil}
+func NewSite(o lease.Owned, p Policy, now, frozenUntil ident.Time) *Site {
+	return &Site{Owned: o, Policy: p, Slots: map[ident.Model]*Slot{}, Heard: now, FrozenUntil: frozenUntil, groups: map[ident.Model][]*Item{}}
 }
 
 // Report is what an owner tells the other hosts about a site.
@@ -55,8 +55,10 @@
 	Fence    ident.Fence      `json:"fence"`
 	Resident []ident.Model    `json:"resident,omitempty"`
 	Loading  []ident.Model    `json:"loading,omitempty"`
-	Running  int              `json:"running"`
-	Queued   int              `json:"queued"`
+	// Waiting are the models that requests wait for and that are neither resident nor loading.
+	Waiting []ident.Model `json:"waiting,omitempty"`
+	Running int           `json:"running"`
+	Queued  int           `json:"queued"`
 }
 
 // Report returns the site's current report, with models in order.
@@ -69,111 +71,130 @@
 			r.Resident = append(r.Resident, m)
 		}
 	}
+	for m := range s.groups {
+		if s.Slots[m] == nil && s.Kind == lease.Engine {
+			r.Waiting = append(r.Waiting, m)
+		}
+	}
+	slices.SortFunc(r.Waiting, compareModels)
 	slices.SortFunc(r.Resident, compareModels)
 	slices.SortFunc(r.Loading, compareModels)
 	return r
 }
 
-func compareModels(x, y ident.Model) int {
-	if x.Adapter != y.Adapter {
-		if x.Adapter < y.Adapter {
-			return -1
-		}
-		return 1
-	}
-	if x.Version < y.Version {
-		return -1
-	}
-	if x.Version > y.Version {
-		return 1
-	}
-	return 0
+// Add queues a request.
+func (s *Site) Add(it *Item) {
+	s.seq++
+	it.seq = s.seq
+	s.Queue = append(s.Queue, it)
+	group := s.groups[it.Model]
+	at, _ := slices.BinarySearchFunc(group, it, compareItems)
+	s.groups[it.Model] = slices.Insert(group, at, it)
 }
 
-// Add queues a request: the more urgent first, then in order of arrival.
-func (s *Site) Add(it *Item) {
-	at := len(s.Queue)
-	for at > 0 && s.Queue[at-1].Urgency < it.Urgency {
-		at--
-	}
-	s.Queue = slices.Insert(s.Queue, at, it)
+// Standing tells whether an adapter is resident, being loaded, or waited for here.
+func (s *Site) Standing(m ident.Model) (resident, loading, waiting bool) {
+	slot := s.Slots[m]
+	return slot != nil && !slot.Loading, slot != nil && slot.Loading, slot == nil && len(s.groups[m]) > 0
 }
 
+// Holds reports whether the request waits here.
+func (s *Site) Holds(it *Item) bool { return slices.Contains(s.Queue, it) }
+
 // Remove takes a request out of the queue.
 func (s *Site) Remove(id ident.RequestID) {
-	s.Queue = slices.DeleteFunc(s.Queue, func(it *Item) bool { return it.ID == id })
+	i := slices.IndexFunc(s.Queue, func(it *Item) bool { return it.ID == id })
+	if i < 0 {
+		return
+	}
+	it := s.Queue[i]
+	s.Queue = slices.Delete(s.Queue, i, i+1)
+	group := slices.DeleteFunc(s.groups[it.Model], func(x *Item) bool { return x == it })
+	if len(group) == 0 {
+		delete(s.groups, it.Model)
+		return
+	}
+	s.groups[it.Model] = group
 }
 
-// Ready reports whether the request could be dispatched now: room in the batch and the adapter resident.
-func (s *Site) Ready(it *Item) bool {
+// Next returns the waiting request that goes first among those that could be dispatched now, or nil: there is room
+// in the batch, its adapter is resident, and may allows it.
+func (s *Site) Next(may func(*Item) bool) *Item {
 	if s.Running >= s.MaxRunning {
-		return false
+		return nil
 	}
 	if s.Kind == lease.Plain {
-		return true
+		return s.first(ident.Model{}, may)
+	}
+	var best *Item
+	for m, slot := range s.Slots {
+		if slot.Loading || slot.Closed {
+			continue
+		}
+		if it := s.first(m, may); it != nil && (best == nil || it.before(best)) {
+			best = it
+		}
+	}
+	return best
+}
+
+// first returns the first dispatchable request of an adapter.
+func (s *Site) first(m ident.Model, may func(*Item) bool) *Item {
+	for _, it := range s.groups[m] {
+		if !it.Claiming && s.hasPlace(it.Urgency) && may(it) {
+			return it
+		}
+	}
+	return nil
+}
+
+// hasPlace reports whether the batch has room for a request of the urgency.
+func (s *Site) hasPlace(u work.Urgency) bool {
+	if s.Running >= s.MaxRunning {
+		return false
 	}
-	slot := s.Slots[it.Model]
-	return slot != nil && !slot.Loading
+	return u > work.Bulk || s.Kind == lease.Plain || s.BulkRunning < max(1, s.MaxRunning-s.UrgentPlaces)
 }
 
 // Start pins the adapter and counts the request as running.
 func (s *Site) Start(it *Item, now ident.Time) {
 	s.Remove(it.ID)
 	it.Running = true
+	it.Started = now
 	s.Running++
+	if it.Urgency == work.Bulk {
+		s.BulkRunning++
+	}
 	if slot := s.Slots[it.Model]; slot != nil {
+		it.slot = slot
+		slot.Bulk = slot.Bulk && it.Urgency == work.Bulk
 		slot.Pins++
 		slot.LastUse = now
 	}
 }
 
-// End undoes Start once nothing of the request runs at the endpoint any more.
+// End undoes Start once nothing of the request runs at the endpoint any more. The slot is the one that the request
+// pinned: a restarted engine may hold the same adapter in a new one.
 func (s *Site) End(it *Item, now ident.Time) {
 	it.Running = false
 	s.Running--
-	if slot := s.Slots[it.Model]; slot != nil {
-		slot.Pins--
-		slot.LastUse = now
-	}
-}
-
-// Wants returns the models that queued requests wait for and that are neither resident nor loading.
-func (s *Site) Wants() []ident.Model {
-	var list []ident.Model
-	if s.Kind != lease.Engine {
-		return nil
+	if it.Urgency == work.Bulk {
+		s.BulkRunning--
 	}
-	for _, it := range s.Queue {
-		if s.Slots[it.Model] == nil && !slices.Contains(list, it.Model) {
-			list = append(list, it.Model)
-		}
+	if it.slot != nil {
+		it.slot.Pins--
+		it.slot.LastUse = now
+		it.slot = nil
 	}
-	return list
 }
 
-// Room returns whether a load can start, and the adapter to evict for it, if any.
-func (s *Site) Room(now ident.Time) (evict *ident.Model, ok bool) {
-	if len(s.Slots) < s.Owned.Slots {
-		return nil, true
-	}
-	if now < s.FrozenUntil {
-		return nil, false
-	}
-	var victim *Slot
-	for _, slot := range s.Slots {
-		if slot.Pins > 0 || slot.Loading || s.waitedFor(slot.Model) {
-			continue
-		}
-		if victim == nil || slot.LastUse < victim.LastUse {
-			victim = slot
-		}
-	}
-	if victim == nil {
-		return nil, false
-	}
-	return &victim.Model, true
-}
+// Restarted empties the slots of an engine that has started anew.
+func (s *Site) Restarted() { s.Slots = map[ident.Model]*Slot{} }
 
-func (s *Site) waitedFor(m ident.Model) bool {
-	return slices.ContainsFunc(s.Queue, func(it *Item) bool { return it.Model == m })
+// Urgency returns the highest urgency of the requests that wait for an adapter.
+func (s *Site) Urgency(m ident.Model) work.Urgency {
+	if group := s.groups[m]; len(group) > 0 {
+		return group[0].Urgency
+	}
+	return work.Bulk
 }
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -27,10 +27,7 @@
 }
 
 // Depart forgets an endpoint instance.
-type Depart struct {
-	Endpoint ident.EndpointID  `json:"endpoint"`
-	Instance ident.Incarnation `json:"instance"`
-}
+type Depart = lease.Departure
 
 // Public reports whether entry hosts without a data folder receive the command; claims stay with the voters.
 func (c Command) Public() bool { return !c.Claims() }
@@ -84,14 +81,14 @@
 	case c.Announce != nil:
 		s.Owners.Announce(*c.Announce)
 	case c.Depart != nil:
-		s.Owners.Depart(c.Depart.Endpoint, c.Depart.Instance)
+		s.Owners.Depart(*c.Depart, c.Wall)
 	case c.Assign != nil:
 		s.Owners.Assign(i, *c.Assign)
 	case c.Mark != nil:
-		r := s.Stops.Mark(*c.Mark)
+		r := s.Stops.Mark(*c.Mark, c.Wall, s.Owners)
 		res.Mark = &r
 	case c.Progress != nil:
-		s.Stops.Advance(*c.Progress)
+		s.Stops.Advance(i, *c.Progress, c.Wall, s.Owners)
 	default:
 		s.applyClaim(c, &res)
 	}
@@ -136,7 +133,8 @@
 	Applied ident.Index    `json:"applied"`
 	Rows    rows.Snapshot  `json:"rows"`
 	Owners  []lease.Owned  `json:"owners"`
-	Stops   []drain.Stop   `json:"stops"`
+	Gone    []lease.Owned  `json:"gone,omitempty"`
+	Stops   drain.Snapshot `json:"stops"`
 	Claims  []claim.Record `json:"claims,omitempty"`
 	// Clock is the latest wall-clock second (Unix) by which claims expired.
 	Clock int64 `json:"clock,omitempty"`
@@ -144,7 +142,7 @@
 
 // Snapshot returns a copy of the state; voters get all of it, other hosts neither claims nor the results of edits.
 func (s *State) Snapshot(voter bool) Snapshot {
-	snap := Snapshot{Applied: s.Applied, Rows: s.Rows.Snapshot(voter), Owners: s.Owners.List(), Stops: s.Stops.List()}
+	snap := Snapshot{Applied: s.Applied, Rows: s.Rows.Snapshot(voter), Owners: s.Owners.List(), Gone: s.Owners.ListGone(), Stops: s.Stops.Snapshot()}
 	if voter {
 		snap.Claims = s.Claims.List()
 		snap.Clock = s.Claims.Clock()
@@ -159,7 +157,7 @@
 	return &State{
 		Applied: s.Applied,
 		Rows:    rows.Restore(s.Rows),
-		Owners:  lease.RestoreOwners(s.Owners),
+		Owners:  lease.RestoreOwners(s.Owners, s.Gone),
 		Stops:   drain.RestoreStops(s.Stops),
 		Claims:  claims,
 	}
--- a/core/world/once.go
+++ b/core/world/once.go
@@ -16,6 +16,7 @@
 		Name:    it.Name(),
 		Digest:  it.Digest,
 		Request: it.ID,
+		Try:     it.Try,
 		Holder:  claim.Holder{Host: w.Self, Incarnation: w.Incarnation},
 		Ends:    claimEnds(it.Request),
 		Expires: max(it.KeyEnds, w.wall+int64(w.Params.KeyLife.Seconds())),
@@ -49,6 +50,9 @@
 	if res.Claim == nil {
 		return
 	}
+	if w.claimedBack(o, *res.Claim) {
+		return
+	}
 	if it == nil {
 		if res.Claim.Granted {
 			w.closeClaim(o, claim.Released, nil)
@@ -85,12 +89,16 @@
 
 // closeClaim records an outcome; the proposal is repeated until a leader answers it.
 func (w *World) closeClaim(o claim.Open, s claim.State, a *claim.Answer) {
-	c := claim.Close{Name: o.Name, Request: o.Request, State: s, Answer: a}
-	w.propose(state.Command{Close: &c}, purpose{})
+	w.propose(closing(o, s, a), purpose{})
+}
+
+func closing(o claim.Open, s claim.State, a *claim.Answer) state.Command {
+	return state.Command{Close: &claim.Close{Name: o.Name, Request: o.Request, Holder: o.Holder, State: s, Answer: a}}
 }
 
-func openOf(it *place.Item) claim.Open {
-	return claim.Open{Name: it.Name(), Request: it.ID}
+// openOf returns the claim that this host holds for a request.
+func (w *World) openOf(it *place.Item) claim.Open {
+	return claim.Open{Name: it.Name(), Request: it.ID, Try: it.Try, Holder: claim.Holder{Host: w.Self, Incarnation: w.Incarnation}}
 }
 
 func claimState(s work.EndState) claim.State {
--- a/io/entry/complete.go
+++ b/io/entry/complete.go
@@ -174,7 +174,7 @@
 	w.Header().Set(RequestHeader, req.ID.String())
 	x := s.host.Submit(req, call)
 	defer s.host.Finish(x)
-	s.answer(w, r, x, req.Left+answerGrace)
+	s.answer(w, r, x, req.Left+answerGrace, newWatch(s.host.Meter, req, call))
 }
 
 // answerGrace is the time after a request's deadline in which its owner's word may still come.
@@ -186,8 +186,8 @@
 	return relay.Chunk{ID: id, Refusal: &r}
 }
 
-// answer writes chunks as they come.
-func (s *Server) answer(w http.ResponseWriter, r *http.Request, x *relay.Exchange, limit time.Duration) {
+// answer writes chunks as they come, and tells level of each.
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, x *relay.Exchange, limit time.Duration, level *watch) {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	control := http.NewResponseController(w)
@@ -195,11 +195,15 @@
 	for {
 		select {
 		case <-r.Context().Done():
+			level.gone()
 			return
 		case <-timer.C:
-			refuse(w, *noWord(x.ID).Refusal, started)
+			last := noWord(x.ID)
+			level.chunk(last)
+			refuse(w, *last.Refusal, started)
 			return
 		case c := <-x.Chunks:
+			level.chunk(c)
 			if c.Refusal != nil {
 				refuse(w, *c.Refusal, started)
 				return
--- a/io/host/effect.go
+++ b/io/host/effect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"shallotgap/core/ident"
 	"shallotgap/core/wire"
@@ -19,7 +20,7 @@
 	case e.Send != nil:
 		h.network.SendControl(e.Send.To, e.Send.Message)
 	case e.Write != nil:
-		h.writes <- *e.Write
+		h.writes.add(*e.Write)
 	case e.Forward != nil:
 		h.forward(*e.Forward)
 	case e.Dispatch != nil:
@@ -31,6 +32,7 @@
 	case e.Load != nil:
 		go func() {
 			done := h.client.Load(ctx, *e.Load)
+			h.countLoad(done)
 			h.post(world.Event{Loaded: &done})
 		}()
 	case e.Inspect != nil:
@@ -45,7 +47,7 @@
 	case e.Asked != nil:
 		h.settle(e.Asked.Ticket, *e.Asked)
 	case e.Note != nil:
-		h.notes.add(*e.Note)
+		h.notes.add(Noted{Note: *e.Note, Host: h.Settings.Name, Wall: time.Now()})
 	}
 }
 
@@ -146,6 +148,9 @@
 	case f.Forward != nil:
 		h.Relay.Keep(f.Forward.Request.ID, f.Forward.Call)
 		h.post(world.Event{Arrive: &world.Arrive{Request: f.Forward.Request, From: from, Endpoint: f.Forward.Endpoint}})
+	case f.Chunk != nil && world.Bounceable(f.Chunk.Refusal):
+		h.Relay.Forwarded(f.Chunk.ID, "")
+		h.post(world.Event{Bounced: &world.Bounced{ID: f.Chunk.ID, Refusal: *f.Chunk.Refusal}})
 	case f.Chunk != nil:
 		h.Relay.Deliver(*f.Chunk)
 	case f.Cancel != nil:
