Evict the adapter with the lowest expected use

Cause: zahlwerk loses its popular adapters to single requests under least-recently-used eviction; the store's 2 loads a second are nearly spent (1.85 a second), so each needless load is a stall for another adapter. Change: a site keeps an exponentially decayed count of requests for each adapter, with a half-life of 20 s, also for adapters that are not resident, and evicts the one with the lowest count.

--- a/core/place/evict.go
+++ b/core/place/evict.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"slices"
 
 	"shallotgap/core/ident"
@@ -61,7 +62,7 @@
 		if !s.evictable(slot, u, now) {
 			continue
 		}
-		if victim == nil || goesBefore(slot, victim) {
+		if victim == nil || s.goesBefore(slot, victim, now) {
 			victim = slot
 		}
 	}
@@ -98,10 +99,11 @@
 	return n
 }
 
-// goesBefore reports whether x is evicted before y.
-func goesBefore(x, y *Slot) bool {
-	if x.LastUse != y.LastUse {
-		return x.LastUse < y.LastUse
-	}
-	return compareModels(x.Model, y.Model) < 0
+// goesBefore reports whether x is evicted before y: that with the lower expected use.
+func (s *Site) goesBefore(x, y *Slot, now ident.Time) bool {
+	return cmp.Or(
+		cmp.Compare(s.uses[x.Model].value(now, s.HalfLife), s.uses[y.Model].value(now, s.HalfLife)),
+		cmp.Compare(x.LastUse, y.LastUse),
+		compareModels(x.Model, y.Model),
+	) < 0
 }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -42,11 +42,12 @@
 
 	groups map[ident.Model][]*Item // the waiting requests of each adapter, in the order in which they go
 	seq    uint64
+	uses   uses
 }
 
 // NewSite returns a site taken over at now.
 func NewSite(o lease.Owned, p Policy, now, frozenUntil ident.Time) *Site {
-	return &Site{Owned: o, Policy: p, Slots: map[ident.Model]*Slot{}, Heard: now, FrozenUntil: frozenUntil, groups: map[ident.Model][]*Item{}}
+	return &Site{Owned: o, Policy: p, Slots: map[ident.Model]*Slot{}, Heard: now, FrozenUntil: frozenUntil, groups: map[ident.Model][]*Item{}, uses: uses{}}
 }
 
 // Report is what an owner tells the other hosts about a site.
@@ -87,6 +88,9 @@
 	s.seq++
 	it.seq = s.seq
 	s.Queue = append(s.Queue, it)
+	if s.HalfLife > 0 {
+		s.uses.add(it.Model, it.Arrived, s.HalfLife)
+	}
 	group := s.groups[it.Model]
 	at, _ := slices.BinarySearchFunc(group, it, compareItems)
 	s.groups[it.Model] = slices.Insert(group, at, it)
--- a/core/place/turn.go
+++ b/core/place/turn.go
@@ -18,11 +18,11 @@
 			taken++
 			continue
 		}
-		if needed < s.closed() || s.closeFor(it) {
+		if needed < s.closed() || s.closeFor(it, now) {
 			needed++
 		}
 	}
-	s.reopen(needed)
+	s.reopen(needed, now)
 }
 
 // rooms counts the loads for requests of the urgency that could start now without a closed slot.
@@ -56,13 +56,13 @@
 }
 
 // closeFor closes the slot with the fewest running requests among those that may be taken for it.
-func (s *Site) closeFor(it *Item) bool {
+func (s *Site) closeFor(it *Item, now ident.Time) bool {
 	var best *Slot
 	for _, slot := range s.Slots {
 		if slot.Loading || slot.Closed || !s.yields(slot, it) {
 			continue
 		}
-		if best == nil || slot.Pins < best.Pins || (slot.Pins == best.Pins && goesBefore(slot, best)) {
+		if best == nil || slot.Pins < best.Pins || (slot.Pins == best.Pins && s.goesBefore(slot, best, now)) {
 			best = slot
 		}
 	}
@@ -78,11 +78,11 @@
 }
 
 // reopen opens the closed slots beyond the number needed.
-func (s *Site) reopen(needed int) {
+func (s *Site) reopen(needed int, now ident.Time) {
 	for extra := s.closed() - needed; extra > 0; extra-- {
 		var last *Slot
 		for _, slot := range s.Slots {
-			if slot.Closed && (last == nil || slot.Pins > last.Pins || (slot.Pins == last.Pins && goesBefore(last, slot))) {
+			if slot.Closed && (last == nil || slot.Pins > last.Pins || (slot.Pins == last.Pins && s.goesBefore(last, slot, now))) {
 				last = slot
 			}
 		}
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -84,7 +84,7 @@
 		LongestRequest:  10 * time.Minute,
 		StoreRate:       2,
 		StoreInFlight:   8,
-		Policy:          place.DefaultPolicy(),
+		Policy:          place.FavourStalls(),
 		Routing:         route.DefaultPolicy(),
 		KeyLife:         24 * time.Hour,
 		CompactAfter:    4096,
--- a/fakes/replay/system.go
+++ b/fakes/replay/system.go
@@ -46,6 +46,7 @@
 }
 
 func newSystem(l *lab, params world.Params, seed uint64) *system {
+	params.Policy = l.Policy
 	params.StoreRate = l.Rate
 	params.StoreInFlight = l.InFlight
 	s := &system{
--- a/fakes/replay/trace.go
+++ b/fakes/replay/trace.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"shallotgap/core/ident"
+	"shallotgap/core/place"
 	"shallotgap/core/work"
 )
 
@@ -64,6 +65,8 @@
 	FailPart  float64 // of the loads in the second half, with Faults
 	Restarts  int     // engines that restart empty, with Faults
 	HostCount int
+	// Policy is the one that is shipped for the deployment.
+	Policy place.Policy
 }
 
 // common are the parts that both deployments share.
@@ -81,6 +84,7 @@
 	p := common()
 	p.Name = "zahlwerk"
 	p.Engines = 10
+	p.Policy = place.FavourStalls()
 	p.Rate = 2
 	p.Streams = []Stream{
 		{Urgency: work.Urgent, Bursts: 1.5, Size: 1, Left: 15 * time.Second, Tokens: 48},
@@ -96,6 +100,7 @@
 	p := common()
 	p.Name = "mungitura"
 	p.Engines = 12
+	p.Policy = place.FavourBatches()
 	p.Rate = 3
 	p.Streams = []Stream{
 		{Urgency: work.Urgent, Bursts: 1, Size: 1, Left: 15 * time.Second, Tokens: 48},
