--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -124,6 +124,7 @@
 		r.fail("self", "log-level", "want debug, info, warn, error or fatal")
 	}
 	s.EntryLife = r.duration("callers", "entry-life", s.EntryLife)
+	s.Params.EntryLife = s.EntryLife
 	s.Params.StoreRate = r.float("store", "loads-per-second", s.Params.StoreRate)
 	s.Params.StoreInFlight = r.int("store", "loads-in-flight", s.Params.StoreInFlight)
 	s.Objectives = r.objectives(s.Objectives)
