--- a/core/world/trace.go
+++ b/core/world/trace.go
@@ -83,9 +83,12 @@
 	return fmt.Sprintf("replay: record %d at %d ns has other effects than recorded", e.Step, e.Input.Now)
 }
 
-// Replay feeds a recorded trace to a new world. next returns the records in order and io.EOF after the last one;
-// seen gets every input with its effects. A step whose effects differ from the recorded ones ends it with a ReplayError.
-func Replay(h TraceHeader, next func() (TraceStep, error), seen func(Input, []Effect)) (int, error) {
+// Next returns the records of a trace in order, and io.EOF after the last one.
+type Next func() (TraceStep, error)
+
+// Rerun feeds the inputs of a trace to a new world and returns their number. seen gets every record with its effects
+// and may end the run with an error.
+func Rerun(h TraceHeader, next Next, seen func(TraceStep, []Effect) error) (int, error) {
 	if h.Version != TraceVersion {
 		return 0, fmt.Errorf("replay: trace version %d; this program reads %d", h.Version, TraceVersion)
 	}
@@ -93,22 +96,33 @@
 	if err != nil {
 		return 0, err
 	}
-	for n := 1; ; n++ {
+	for n := 0; ; n++ {
 		step, err := next()
 		if errors.Is(err, io.EOF) {
-			return n - 1, nil
+			return n, nil
 		}
 		if err != nil {
-			return n - 1, fmt.Errorf("replay: record %d: %w", n, err)
+			return n, fmt.Errorf("replay: record %d: %w", n+1, err)
+		}
+		if err := seen(step, w.Handle(step.Input)); err != nil {
+			return n, err
 		}
-		effects := w.Handle(step.Input)
+	}
+}
+
+// Replay is a Rerun that ends with a ReplayError at the first input whose effects differ from the recorded ones.
+func Replay(h TraceHeader, next Next, seen func(Input, []Effect)) (int, error) {
+	n := 0
+	return Rerun(h, next, func(step TraceStep, effects []Effect) error {
+		n++
 		seen(step.Input, effects)
 		sum, err := sumOf(effects)
 		if err != nil {
-			return n, err
+			return err
 		}
 		if string(sum) != string(step.Sum) {
-			return n, &ReplayError{Step: n, Input: step.Input, Effects: effects}
+			return &ReplayError{Step: n, Input: step.Input, Effects: effects}
 		}
-	}
+		return nil
+	})
 }
--- a/fakes/vtime/disk.go
+++ b/fakes/vtime/disk.go
@@ -70,7 +70,7 @@
 			continue
 		}
 		keep := e.Index - d.stored.Snapshot.Index - 1
-		d.stored.Entries = append(d.stored.Entries[:keep:keep], e)
+		d.stored.Entries = append(d.stored.Entries[:keep], e)
 	}
 }
 
--- a/fakes/vtime/fleet.go
+++ b/fakes/vtime/fleet.go
@@ -32,8 +32,13 @@
 	Network               Network
 	Sync                  time.Duration // longest time until a write is durable
 	Seed                  uint64
+	// Record is asked at each start of a host for a recorder of its inputs; nil records nothing.
+	Record func(h *Host, header world.TraceHeader) Recorder
 }
 
+// Recorder takes every input of one run of a host with its effects.
+type Recorder func(in world.Input, effects []world.Effect)
+
 // Host is one host of the fleet.
 type Host struct {
 	Name  ident.HostID
@@ -44,6 +49,7 @@
 	// frozen holds what arrived while the host stood still.
 	frozen  []world.Event
 	stopped bool
+	record  Recorder
 	tickets world.Ticket
 }
 
@@ -95,11 +101,16 @@
 	h.frozen, h.stopped = nil, false
 	c := world.Config{
 		Self: h.Name, Incarnation: ident.Incarnation(f.Now) + 1, Peers: f.peers(), Params: f.Params,
-		Rand: rand.New(rand.NewPCG(f.Seed, uint64(len(h.Name)*1000+h.run))), Now: h.clock(f.Now),
+		Now: h.clock(f.Now),
 	}
+	seeds := [2]uint64{f.Seed, uint64(len(h.Name)*1000 + h.run)}
+	c.Rand = rand.New(rand.NewPCG(seeds[0], seeds[1]))
 	if h.Disk != nil {
 		c.Stored = h.Disk.Stored()
 	}
+	if f.Record != nil {
+		h.record = f.Record(h, world.NewTraceHeader(c, seeds))
+	}
 	w, err := world.New(c)
 	if err != nil {
 		panic(err)
@@ -176,7 +187,11 @@
 		h.frozen = append(h.frozen, e)
 		return
 	}
-	effects := h.World.Handle(world.Input{Now: h.clock(f.Now), Wall: int64(f.Now / time.Second), Event: e})
+	in := world.Input{Now: h.clock(f.Now), Wall: int64(f.Now / time.Second), Event: e}
+	effects := h.World.Handle(in)
+	if h.record != nil {
+		h.record(in, effects)
+	}
 	for _, effect := range effects {
 		f.carryOut(h, effect)
 	}
--- /dev/null
+++ b/scene/process_test.go
@@ -0,0 +1,158 @@
+package scene
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shallotgap/core/drain"
+	"shallotgap/core/ident"
+	"shallotgap/core/rows"
+	"shallotgap/core/state"
+	"shallotgap/fakes/fleet"
+	"shallotgap/fakes/procs"
+	"shallotgap/io/admin"
+)
+
+// processSeed decides on the faults of the processes.
+const processSeed = 20261203
+
+// newProcesses starts seven hosts as processes, three of them voters, in three failure domains.
+func newProcesses(t *testing.T) *procs.Deployment {
+	t.Helper()
+	program, err := procs.Build("..", t.TempDir())
+	assert.NilError(t, err)
+	d, err := procs.New(procs.Config{Program: program, Folder: t.TempDir(), Hosts: 7, Disks: 3, Domains: 3, EntryLife: time.Second})
+	assert.NilError(t, err)
+	t.Cleanup(d.Close)
+	for _, h := range d.Hosts {
+		awaitProcess(t, h)
+	}
+	row := rows.Row{Workspace: "default", Adapter: "feed-advice", Version: "v1", Weight: 1}
+	e := rows.Edit{ID: "first", Key: rows.KeyOf(row.Workspace, row.Adapter), Row: &row}
+	body, err := json.Marshal(e)
+	assert.NilError(t, err)
+	assert.Equal(t, post(d.Hosts[0].URL()+"/admin/table", string(body)).Status, 200)
+	for _, h := range d.Hosts {
+		known := func() bool {
+			var table admin.Table
+			return get(h.URL()+"/admin/table", &table) == nil && len(table.Rows) == 1
+		}
+		assert.Assert(t, fleet.Await(settleTime, known), "the row does not reach %s", h.Name)
+	}
+	return d
+}
+
+// atProcess returns a process in the form that the shared helpers take.
+func atProcess(h *procs.Host) *fleet.Host {
+	f := &fleet.Host{}
+	f.Listen = h.Listen
+	return f
+}
+
+func awaitProcess(t *testing.T, h *procs.Host) {
+	t.Helper()
+	assert.Assert(t, fleet.Await(2*settleTime, func() bool { return ready(atProcess(h), 6) }), "process %s does not serve", h.Name)
+}
+
+func markProcess(t *testing.T, h *procs.Host, m drain.Mark) {
+	t.Helper()
+	body, err := json.Marshal(m)
+	assert.NilError(t, err)
+	var res state.Result
+	a := post(h.URL()+"/admin/stops", string(body))
+	assert.NilError(t, json.Unmarshal([]byte(a.Body), &res), a.Body)
+	assert.Assert(t, res.Mark != nil && res.Mark.Accepted, a.Body)
+}
+
+func processLoad(d *procs.Deployment) *fleet.Load {
+	return fleet.StartLoad(fleet.LoadConfig{Entries: d.URLs(), Callers: 8, Model: "feed-advice@v1", Service: "payments", Pause: 2 * time.Millisecond})
+}
+
+// Processes of each failure domain in turn are stopped for the landlord, killed once they are safe, and started
+// again: no request is cut, none runs twice.
+func TestProcessesOfEachFailureDomainStopWithoutCut(t *testing.T) {
+	d := newProcesses(t)
+	load := processLoad(d)
+	for i, domain := range []string{"a", "b", "c"} {
+		stays := d.Hosts[(i+1)%3]
+		markProcess(t, stays, drain.Mark{ID: ident.EditID("stop-" + domain), Target: drain.Domain, Name: domain})
+		awaitSafe(t, atProcess(stays), drain.IDOf(drain.Domain, domain))
+		for _, h := range d.Hosts {
+			if h.Domain == domain {
+				h.Kill()
+				assert.NilError(t, d.Start(h))
+			}
+		}
+		for _, h := range d.Hosts {
+			awaitProcess(t, h)
+		}
+		markProcess(t, stays, drain.Mark{ID: ident.EditID("end-" + domain), Target: drain.Domain, Name: domain, Withdraw: true})
+	}
+	outcomes := load.Stop()
+	twice, untrue := fleet.Doubled(outcomes, d.Runs())
+	t.Logf("%d requests", len(outcomes))
+	assert.DeepEqual(t, fleet.Failed(outcomes), map[string]int{})
+	assert.Equal(t, len(twice)+len(untrue), 0, "doubled: %v; untrue: %v", twice, untrue)
+}
+
+func awaitEnd(t *testing.T, h *procs.Host, limit time.Duration) {
+	t.Helper()
+	select {
+	case <-h.Ended():
+	case <-time.After(limit):
+		t.Fatalf("process %s does not end", h.Name)
+	}
+}
+
+// A process that is told to stop drains and ends by itself; a second signal ends it at once.
+func TestProcessEndsAfterSignal(t *testing.T) {
+	d := newProcesses(t)
+	load := processLoad(d)
+	for _, h := range d.Hosts[3:5] {
+		h.Signal(syscall.SIGTERM)
+		drains := func() bool {
+			phase, _ := phaseOf(atProcess(d.Hosts[0]), drain.IDOf(drain.Host, h.Name))
+			return phase == drain.Draining
+		}
+		assert.Assert(t, fleet.Await(settleTime, drains), "process %s does not drain", h.Name)
+	}
+	once, twiceTold := d.Hosts[3], d.Hosts[4]
+	twiceTold.Signal(syscall.SIGTERM)
+	awaitEnd(t, twiceTold, 2*time.Second)
+	awaitEnd(t, once, 15*time.Second)
+	outcomes := load.Stop()
+	twice, untrue := fleet.Doubled(outcomes, d.Runs())
+	assert.Equal(t, len(twice)+len(untrue), 0, "doubled: %v; untrue: %v", twice, untrue)
+}
+
+// Processes are killed or stand still for longer than a lease, at random with a fixed seed: nothing runs twice, and
+// every "not-run" is true.
+func TestProcessesKilledAtRandomDoubleNothing(t *testing.T) {
+	d := newProcesses(t)
+	random := rand.New(rand.NewPCG(processSeed, 1))
+	load := processLoad(d)
+	for n := range 8 {
+		h := d.Hosts[random.IntN(len(d.Hosts))]
+		before := load.Count()
+		if n%2 == 0 {
+			h.Kill()
+			assert.NilError(t, d.Start(h))
+		} else {
+			h.Signal(syscall.SIGSTOP)
+			<-time.After(2500 * time.Millisecond)
+			h.Signal(syscall.SIGCONT)
+		}
+		awaitProcess(t, h)
+		assert.Assert(t, fleet.Await(settleTime, func() bool { return load.Count() > before+20 }), "nothing is served after fault %d", n)
+	}
+	outcomes := load.Stop()
+	twice, untrue := fleet.Doubled(outcomes, d.Runs())
+	t.Logf("seed %s: %d requests, without an answer: %v", strconv.Itoa(processSeed), len(outcomes), fleet.Failed(outcomes))
+	assert.Equal(t, len(twice)+len(untrue), 0, "doubled: %v; untrue: %v", twice, untrue)
+}
