--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -53,6 +53,8 @@
 	Digest  Digest          `json:"digest"`
 	Request ident.RequestID `json:"request"`
 	Holder  Holder          `json:"holder"`
+	// Try counts how often the request was sent back to its entry host and routed again.
+	Try uint32 `json:"try,omitempty"`
 	// Ends is the wall-clock second (Unix) from which the request may not be claimed, and after which an open
 	// claim counts as in doubt; 0 for never.
 	Ends int64 `json:"ends,omitempty"`
@@ -122,18 +124,17 @@
 // Len returns the number of records.
 func (b *Book) Len() int { return len(b.records) }
 
-// Open grants the claim unless the key has been used; a released one may be claimed again by another request.
-// A resent Open of the host that released it finds the released record: nobody waits for its claim any more. The
-// same request may go to another host, which claims it anew.
+// Open grants the claim unless the key has been used; a released one may be claimed again by another request, or by a
+// later try of the same one. A resent Open of a try that was released finds the released record: nobody waits for it.
 func (b *Book) Open(o Open) Result {
 	if r, ok := b.records[o.Name]; ok {
 		if r.Digest != o.Digest {
 			return Result{Mismatch: true}
 		}
-		if r.Request == o.Request && r.Holder == o.Holder && r.State == Claimed {
+		if r.Request == o.Request && r.Try == o.Try && r.Holder == o.Holder && r.State == Claimed {
 			return Result{Granted: true}
 		}
-		if r.State != Released || (r.Request == o.Request && r.Holder == o.Holder) {
+		if r.State != Released || (r.Request == o.Request && o.Try <= r.Try) {
 			found := *r
 			return Result{Record: &found}
 		}
--- a/core/lease/owners.go
+++ b/core/lease/owners.go
@@ -60,14 +60,14 @@
 	Endpoint
 	Owner ident.HostID `json:"owner,omitempty"`
 	Fence ident.Fence  `json:"fence,omitempty"`
-	// Previous is the owner before the present one, "" for none.
-	Previous ident.HostID `json:"previous,omitempty"`
 	// Last is the owner that gave the endpoint back at Fence; set while there is no owner.
 	Last ident.HostID `json:"last,omitempty"`
 	// Former is the instance before the present one; a late announcement of it changes nothing.
 	Former ident.Incarnation `json:"former,omitempty"`
 	// Gone is the wall-clock second (Unix) at which the endpoint was forgotten; 0 for a present one.
 	Gone int64 `json:"gone,omitempty"`
+	// Previous is the owner before the present one, "" for none.
+	Previous ident.HostID `json:"previous,omitempty"`
 }
 
 // KeepGone is the time in seconds for which the owner of an endpoint that has left is remembered. It is longer than
@@ -129,9 +129,11 @@
 		}
 		old.Former = old.Instance
 	}
+	e.Leaving = e.Leaving || old.Endpoint.Leaves(e.Instance)
 	o.gone.Delete(e.ID)
-	e.Leaving = e.Leaving || old.Leaves(e.Instance)
-	o.put(Owned{Endpoint: e, Owner: old.Owner, Fence: old.Fence, Previous: old.Previous, Last: old.Last, Former: old.Former})
+	old.Endpoint = e
+	old.Gone = 0
+	o.put(old)
 }
 
 // Departure tells that the owner with the fencing number has not heard an endpoint instance for too long. Fence 0
@@ -166,13 +168,13 @@
 	if !ok || e.Fence != a.From {
 		return
 	}
-	if e.Owner != "" {
-		e.Previous = e.Owner
-	}
 	e.Last = ""
 	if a.Owner == "" {
 		e.Last = e.Owner
 	}
+	if e.Owner != "" {
+		e.Previous = e.Owner
+	}
 	e.Owner = a.Owner
 	e.Fence = ident.Fence(i)
 	o.put(e)
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -26,9 +26,13 @@
 	Service ident.Service `json:"service,omitempty"`
 	// Model is the adapter and version of a model request.
 	Model ident.Model `json:"model,omitempty"`
+	// Base is the base model that the adapter's row names; empty for any.
+	Base ident.Service `json:"base,omitempty"`
 	// Key is set for a request that must run at most once.
 	Key    ident.Key    `json:"key,omitempty"`
 	Digest claim.Digest `json:"digest,omitempty"`
+	// Try counts how often the request was sent back to its entry host and routed again.
+	Try uint32 `json:"try,omitempty"`
 	// Left is the time to the deadline when the request reached this host.
 	Left time.Duration `json:"left"`
 	// Ends is the wall-clock second (Unix) from which no host starts the request any more. It covers the time that
--- a/core/world/lead.go
+++ b/core/world/lead.go
@@ -25,12 +25,12 @@
 	// assigning holds the index of the latest assignment proposed; abandoning the time of the latest proposal.
 	assigning  map[ident.EndpointID]ident.Index
 	abandoning map[ident.HostID]ident.Time
+	// taken is the index of the latest assignment that takes an endpoint from a host: it gets no lease before it knows.
+	taken map[ident.HostID]ident.Index
 	// advancing holds the index of the latest step proposed for a stop, draining the time at which this leader
 	// first saw the drain that started at an index.
 	advancing map[drain.StopID]ident.Index
 	draining  map[ident.Index]ident.Time
-	// taken is the index of the latest assignment that takes an endpoint from a host: it gets no lease before it knows.
-	taken map[ident.HostID]ident.Index
 	// accepted are the latest public commands with the time of their acceptance, oldest first.
 	accepted []acceptance
 	pushed   ident.Index
@@ -63,9 +63,9 @@
 		waiting:    map[ident.Index]proposer{},
 		assigning:  map[ident.EndpointID]ident.Index{},
 		abandoning: map[ident.HostID]ident.Time{},
+		taken:      map[ident.HostID]ident.Index{},
 		advancing:  map[drain.StopID]ident.Index{},
 		draining:   map[ident.Index]ident.Time{},
-		taken:      map[ident.HostID]ident.Index{},
 		pushed:     w.state.Applied,
 		accepted:   []acceptance{{index: w.state.Applied, at: longAgo}},
 	}
--- a/core/world/once_test.go
+++ b/core/world/once_test.go
@@ -1,6 +1,7 @@
 package world_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -49,9 +50,9 @@
 	o.effects = append(o.effects, o.Handle(world.Input{Now: o.now, Wall: int64(o.now / ident.Time(time.Second)), Event: e})...)
 }
 
-// answerClaim lets the leader answer the proposal of the claim.
+// answerClaim lets the leader answer the latest proposal of the claim.
 func (o *owning) answerClaim(res claim.Result) {
-	for _, e := range o.effects {
+	for _, e := range slices.Backward(o.effects) {
 		if e.Send != nil && e.Send.Message.Propose != nil && e.Send.Message.Propose.Command.Open != nil {
 			o.message(world.Message{Proposed: &world.Proposed{Ticket: e.Send.Message.Propose.Ticket, Result: state.Result{Claim: &res}}})
 			return
@@ -138,6 +139,15 @@
 			happens: func(o *owning) { o.own(2, "v1"); o.own(3, "e1") },
 			want:    outcome{Released: 1},
 		},
+		"the endpoint moves away and back, and the claim is released": {
+			happens: func(o *owning) { o.own(2, "v1"); o.own(3, "e1") },
+			then: func(o *owning) {
+				o.answerRelease()
+				o.pass(20 * time.Millisecond)
+				o.answerClaim(claim.Result{Granted: true})
+			},
+			want: outcome{Released: 1, Sent: 1},
+		},
 		"the endpoint moves and the caller goes": {
 			happens: func(o *owning) { o.own(2, "v1"); o.handle(world.Event{Cancel: &world.Cancel{ID: id}}) },
 			then:    func(o *owning) { o.answerRelease(); o.pass(20 * time.Millisecond) },
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -14,6 +14,7 @@
 	"shallotgap/core/lease"
 	"shallotgap/core/place"
 	"shallotgap/core/quorum"
+	"shallotgap/core/route"
 	"shallotgap/core/state"
 	"shallotgap/core/wire"
 )
@@ -56,14 +57,19 @@
 	LongestRequest time.Duration
 	StoreRate      float64 // loads a second
 	StoreInFlight  int     // loads at once
-	KeyLife        time.Duration
-	CompactAfter   int // log entries between snapshots
-	// EntryLife is how long callers may keep an answer to GET /v1/entries.
-	EntryLife time.Duration
-	// Voters is the number of hosts that vote; further ones with a data folder stand by. 0 means all of them.
+	// Policy weighs load stalls against batch efficiency.
+	Policy place.Policy
+	// Routing is the setting of the choice of endpoints.
+	Routing      route.Policy
+	KeyLife      time.Duration
+	CompactAfter int // log entries between snapshots
+	// Voters is the number of hosts that vote; further ones with a data folder stand by. 0 means the largest of 1, 3
+	// and 5 that the disks allow.
 	Voters int
 	// RepairAfter is how long a voter may be silent before a host that stands by takes its seat.
 	RepairAfter time.Duration
+	// EntryLife is how long callers may keep an answer to GET /v1/entries.
+	EntryLife time.Duration
 }
 
 // Defaults returns the parameters that hold where the settings name none.
@@ -81,10 +87,12 @@
 		LongestRequest:  10 * time.Minute,
 		StoreRate:       2,
 		StoreInFlight:   8,
+		Policy:          place.DefaultPolicy(),
+		Routing:         route.DefaultPolicy(),
 		KeyLife:         24 * time.Hour,
 		CompactAfter:    4096,
-		EntryLife:       5 * time.Second,
 		RepairAfter:     30 * time.Second,
+		EntryLife:       5 * time.Second,
 	}
 }
 
@@ -123,9 +131,13 @@
 	taken map[ident.EndpointID]*takenSite
 	stray map[ident.RequestID]bool
 	// backs are the requests that go back to their entry host once their claim is released.
-	backs    map[ident.RequestID]*backward
-	reports  map[ident.EndpointID]place.Report
+	backs   map[ident.RequestID]*backward
+	reports map[ident.EndpointID]place.Report
+	// holding are the endpoints of other hosts that have an adapter or will have it, by their reports.
+	holding  map[ident.Model][]ident.EndpointID
+	routes   *routeIndex
 	reportAt ident.Time
+	sending  map[ident.EndpointID]sending
 	sent     map[ident.EndpointID]string
 }
 
@@ -143,11 +155,15 @@
 		items:    map[ident.RequestID]*place.Item{},
 		forwards: map[ident.RequestID]forwarded{},
 		reports:  map[ident.EndpointID]place.Report{},
+		holding:  map[ident.Model][]ident.EndpointID{},
 		sent:     map[ident.EndpointID]string{},
 		left:     map[ident.EndpointID]*leftSite{},
 		taken:    map[ident.EndpointID]*takenSite{},
 		stray:    map[ident.RequestID]bool{},
+		sending:  map[ident.EndpointID]sending{},
 		backs:    map[ident.RequestID]*backward{},
+		// Tickets of two runs never meet, so that a late answer to the earlier run matches nothing.
+		tickets: Ticket(c.Incarnation),
 	}
 	if c.Stored == nil {
 		return w, nil
