--- a/core/route/homes.go
+++ b/core/route/homes.go
@@ -20,6 +20,9 @@
 // Rank returns the first n endpoints in the adapter's order for which takes is true. takes is asked only of those
 // that would be among them.
 func (h *Homes) Rank(a ident.Adapter, n int, takes func(ident.EndpointID) bool) []ident.EndpointID {
+	if n <= 0 {
+		return nil
+	}
 	best := make([]ident.EndpointID, 0, n+1)
 	scores := make([]uint64, 0, n+1)
 	key := keyOf(string(a))
