Give each test process and host its own loopback addresses

Cause: TestProcessesOfEachFailureDomainStopWithoutCut failed once in a whole run on a machine with a load of 40 ("process e1 does not serve" after its restart); alone it passed (18.6 s). A host that starts again binds its old port, which any outgoing connection from 127.0.0.1, or another test process, may hold by then. That this was the cause here is likely but not shown: the host's log was gone. Ruled out: a longer wait (30 s had passed); fixed ports (two runs on one machine would meet). Change: hosts of fleets and process deployments listen on an address made of the process id and their number, with ports from the system; the two ports of a host are taken while both are held. Conclusion: no connection's source port can be in the way any more; watch for the failure.

--- a/fakes/fleet/fleet.go
+++ b/fakes/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -100,16 +101,27 @@
 
 type sockets struct{ callers, peers net.Listener }
 
+// firstIP is the last number of the loopback address of the first host.
+const firstIP = 10
+
+// Listen takes a port from the system on the loopback address of the n-th host of this process. No host uses
+// 127.0.0.1, the source address of all connections here: a connection could hold the port of a host that is started
+// again. Nor do two test processes share addresses, for the same reason.
+func Listen(n int) (net.Listener, error) {
+	pid := os.Getpid()
+	return net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid%250, pid/250%250, firstIP+n))
+}
+
 // plan takes ports from the system and writes the settings of all hosts.
 func (f *Fleet) plan() ([]sockets, error) {
 	var list []sockets
 	var hosts []conf.Host
 	for n := range f.Config.Hosts {
-		callers, err := net.Listen("tcp", "127.0.0.1:0")
+		callers, err := Listen(n)
 		if err != nil {
 			return nil, err
 		}
-		peers, err := net.Listen("tcp", "127.0.0.1:0")
+		peers, err := Listen(n)
 		if err != nil {
 			return nil, err
 		}
--- a/fakes/procs/procs.go
+++ b/fakes/procs/procs.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -16,6 +15,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"shallotgap/fakes/fleet"
 	"shallotgap/fakes/stand"
 )
 
@@ -116,7 +116,11 @@
 	var sections strings.Builder
 	_, _ = fmt.Fprintf(&sections, "[callers]\nentry-life = %s\n", d.EntryLife)
 	for n := range d.Config.Hosts {
-		h := &Host{Name: fmt.Sprintf("e%d", n+1), Domain: string(rune('a' + n%d.Domains)), Listen: freeAddress(), Peer: freeAddress()}
+		listen, peer, err := addresses(n)
+		if err != nil {
+			return err
+		}
+		h := &Host{Name: fmt.Sprintf("e%d", n+1), Domain: string(rune('a' + n%d.Domains)), Listen: listen, Peer: peer}
 		d.Hosts = append(d.Hosts, h)
 		_, _ = fmt.Fprintf(&sections, "[host.%s]\ndomain = %s\nlisten = %s\npeer = %s\ndisk = %v\n", h.Name, h.Domain, h.Listen, h.Peer, n < d.Disks)
 	}
@@ -133,14 +137,18 @@
 	return nil
 }
 
-// freeAddress returns a loopback address whose port the system gave and nobody listens on.
-func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+// addresses returns two addresses of the n-th host whose ports the system gave and nobody listens on.
+func addresses(n int) (listen, peer string, err error) {
+	var list []string
+	for range 2 {
+		l, err := fleet.Listen(n)
+		if err != nil {
+			return "", "", err
+		}
+		defer func() { _ = l.Close() }()
+		list = append(list, l.Addr().String())
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return list[0], list[1], nil
 }
 
 // Start starts a host's process.
