Ask callers, operators, endpoints and peers for tokens, and bound what is open at once

Cause: anybody who reached a host could name any workspace, edit the table or announce endpoints; nothing bounded the requests that were open at once, or the time to send a body and to take an answer.

Ruled out: one token file with roles (a caller's file would have to be readable by all who edit the operators'); endpoints under the operators' tokens (an endpoint could then edit the table).

Change: [tokens] names four files, all or none; the digests are compared in constant time; a caller's token alone decides on its workspace; without tokens only loopback addresses are listened on.

Tests: bad input of eleven kinds gets a problem+json with outcome not-run, and the next caller is served; a workspace at its bound is refused with Retry-After while another is served.

--- a/core/work/work.go
+++ b/core/work/work.go
@@ -84,6 +84,7 @@
 	EndpointFailed Reason = "endpoint-failed" // the endpoint gave no whole answer
 	WrongModel     Reason = "wrong-model"     // the endpoint answered for another adapter
 	WrongAnswer    Reason = "wrong-answer"    // the endpoint answered for another request
+	WrongToken     Reason = "wrong-token"     // the request bears no token that opens its path
 	Stopping       Reason = "stopping"        // the host or endpoint is stopping
 )
 
--- a/fakes/stand/announce.go
+++ b/fakes/stand/announce.go
@@ -23,6 +23,8 @@
 	Instance    uint64 `json:"instance"`
 	ChecksFence bool   `json:"checks-fence,omitempty"`
 	EchoesID    bool   `json:"echoes-id,omitempty"`
+	// Token is shown to the entry hosts; empty for none.
+	Token string `json:"-"`
 }
 
 // Announce tells the system of the endpoint until the context ends: first the given entry hosts in turn, then its owner.
@@ -47,7 +49,15 @@
 	if err != nil {
 		return ""
 	}
-	resp, err := client.Post(target+"/v1/endpoints", "application/json", bytes.NewReader(body))
+	req, err := http.NewRequest(http.MethodPost, target+"/v1/endpoints", bytes.NewReader(body))
+	if err != nil {
+		return ""
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if a.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+a.Token)
+	}
+	resp, err := client.Do(req)
 	if err != nil {
 		return ""
 	}
--- a/fakes/stand/engine.go
+++ b/fakes/stand/engine.go
@@ -24,6 +24,7 @@
 	StepTime time.Duration `default:"10ms" help:"Time of one step with an empty batch."`
 	StepPer  time.Duration `default:"500us" help:"Added to a step by each request in the batch."`
 	Unfenced bool          `help:"Ignore fencing numbers, and say so."`
+	Token    string        `help:"Token to announce with."`
 	Mute     bool          `help:"Do not echo X-Request-Id in the id of answers, and say so."`
 }
 
@@ -81,7 +82,7 @@
 	defer e.engineMu.Unlock()
 	return Announcement{
 		ID: e.ID, Kind: "engine", URL: url, Domain: e.Domain, Service: e.Model,
-		Slots: e.Slots, MaxRunning: e.Batch, Instance: e.instance, ChecksFence: !e.Unfenced, EchoesID: !e.Mute,
+		Slots: e.Slots, MaxRunning: e.Batch, Instance: e.instance, ChecksFence: !e.Unfenced, EchoesID: !e.Mute, Token: e.Token,
 	}
 }
 
--- a/fakes/stand/plain.go
+++ b/fakes/stand/plain.go
@@ -14,6 +14,7 @@
 	ID      string `required:"" help:"Name of this replica."`
 	Service string `required:"" help:"Name of the service."`
 	Domain  string `required:"" help:"Failure domain."`
+	Token   string `help:"Token to announce with."`
 }
 
 // Plain counts how often each key ran.
@@ -66,7 +67,7 @@
 
 // Announcement returns what the service says of itself when it is reached at url.
 func (s *Plain) Announcement(url string) Announcement {
-	return Announcement{ID: s.ID, Kind: "plain", URL: url, Domain: s.Domain, Service: s.Service, MaxRunning: plainBatch, Instance: s.instance}
+	return Announcement{ID: s.ID, Kind: "plain", URL: url, Domain: s.Domain, Service: s.Service, MaxRunning: plainBatch, Instance: s.instance, Token: s.Token}
 }
 
 // Handler returns the service's HTTP side.
--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -14,6 +14,7 @@
 	"shallotgap/core/burn"
 	"shallotgap/core/ident"
 	"shallotgap/core/world"
+	"shallotgap/io/token"
 )
 
 // Settings are the checked settings of one host.
@@ -26,6 +27,8 @@
 	// Hosts are all entry hosts, this one included, in order of their names.
 	Hosts  []Host
 	Params world.Params
+	// Tokens open the paths to callers, operators, endpoints and peers; without them all are open.
+	Tokens token.Set
 	// EntryLife is how long callers may keep an answer to GET /v1/entries.
 	EntryLife time.Duration
 	// DrainTimeout bounds the drain of a process that is told to stop.
@@ -88,6 +91,7 @@
 	"self":    {"name", "data-folder", "log-level", "drain-timeout", "trace", "trace-bytes"},
 	"host.*":  {"domain", "listen", "peer", "disk"},
 	"callers": {"entry-life"},
+	"tokens":  {"callers", "operators", "endpoints", "peers"},
 	"store":   {"loads-per-second", "loads-in-flight"},
 	"quorum":  {"voters", "repair-after"},
 	// The keys of [objectives] follow from the objectives of package burn.
@@ -142,6 +146,8 @@
 	s.Hosts = r.hosts()
 	s.Domain = s.Self().Domain
 	r.checkHosts(s)
+	s.Tokens = r.tokens()
+	r.checkTokens(s)
 	return s
 }
 
--- a/io/entry/complete.go
+++ b/io/entry/complete.go
@@ -87,7 +87,10 @@
 }
 
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(readTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		problem(w, http.StatusRequestEntityTooLarge, work.Refusal{Outcome: work.NotRun, Reason: "too-large", Step: "admit"})
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -31,12 +31,14 @@
 
 // Bounds of a caller's request.
 const (
-	maxBody        = 8 << 20 // bytes
-	defaultTimeout = 60 * time.Second
-	maxTimeout     = 10 * time.Minute
-	maxKey         = 200 // bytes of an Idempotency-Key
-	maxKeyLife     = 30 * 24 * time.Hour
-	writeTimeout   = 30 * time.Second // for a caller to take one piece of its answer
+	maxBody         = 8 << 20 // bytes
+	defaultTimeout  = 60 * time.Second
+	maxTimeout      = 10 * time.Minute
+	maxAnnouncement = 16 << 10 // bytes
+	maxKey          = 200      // bytes of an Idempotency-Key
+	maxKeyLife      = 30 * 24 * time.Hour
+	readTimeout     = 30 * time.Second // for a caller to send its body
+	writeTimeout    = 30 * time.Second // for a caller to take one piece of its answer
 )
 
 // DefaultWorkspace is used where a caller names none and no tokens are configured.
@@ -121,7 +123,7 @@
 
 func (s *Server) announce(w http.ResponseWriter, r *http.Request) {
 	var e lease.Endpoint
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&e); err != nil || e.ID == "" || e.URL == "" || e.Instance == 0 {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement)).Decode(&e); err != nil || e.ID == "" || e.URL == "" || e.Instance == 0 {
 		problem(w, http.StatusBadRequest, work.Refusal{Outcome: work.NotRun, Reason: "bad-announcement", Step: "announce"})
 		return
 	}
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -86,7 +86,7 @@
 		running:     map[ident.RequestID]context.CancelFunc{},
 		tickets:     map[world.Ticket]chan any{},
 	}
-	h.network = peer.New(common, peer.Config{Self: c.Settings.Name, Hosts: c.Settings.Hosts, Listener: c.Peers, Receiver: h, Dial: c.Dial})
+	h.network = peer.New(common, peer.Config{Self: c.Settings.Name, Hosts: c.Settings.Hosts, Listener: c.Peers, Receiver: h, Dial: c.Dial, Tokens: c.Settings.Tokens.Peers})
 	return h, h.open()
 }
 
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -20,6 +20,7 @@
 	"shallotgap/io/conf"
 	"shallotgap/io/logs"
 	"shallotgap/io/relay"
+	"shallotgap/io/token"
 )
 
 // Frame is what travels on a link; exactly one of Control and Data is set, besides From.
@@ -51,6 +52,8 @@
 	Hosts    []conf.Host
 	Listener net.Listener
 	Receiver Receiver
+	// Tokens are those of peers; nil lets every peer in.
+	Tokens *token.List
 	// Dial opens the connection to a host; nil dials over TCP. Tests cut links with it.
 	Dial DialFunc
 }
@@ -169,7 +172,7 @@
 func (n *Network) dial(ctx context.Context, l *link) error {
 	dialCtx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	conn, _, err := websocket.Dial(dialCtx, "ws://"+l.host.Peer+"/", &websocket.DialOptions{HTTPClient: n.clientFor(l)})
+	conn, _, err := websocket.Dial(dialCtx, "ws://"+l.host.Peer+"/", &websocket.DialOptions{HTTPClient: n.clientFor(l), HTTPHeader: n.Tokens.Header()})
 	if err != nil {
 		return fmt.Errorf("dial peer %s: %w", l.host.Name, err)
 	}
@@ -226,6 +229,10 @@
 
 // accept receives on a link that another host dialled.
 func (n *Network) accept(w http.ResponseWriter, r *http.Request) {
+	if _, ok := n.Tokens.Check(r); !ok {
+		http.Error(w, "wrong token", http.StatusUnauthorized)
+		return
+	}
 	conn, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		return
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -33,7 +33,7 @@
 	mux := http.NewServeMux()
 	entry.New(common, h).Register(mux)
 	admin.New(common, h).Register(mux)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	server := &http.Server{Handler: &entry.Gate{Next: mux, Tokens: c.Settings.Tokens}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
 	ctx, end := context.WithCancel(ctx)
 	defer end()
 	group, ctx := errgroup.WithContext(ctx)
--- a/io/texts/texts.go
+++ b/io/texts/texts.go
@@ -17,6 +17,7 @@
 	work.KeyInDoubt:     "The request with this Idempotency-Key may have run; only the endpoint can tell.",
 	work.KeyExpired:     "The life of this Idempotency-Key is over; nothing was run.",
 	work.Canceled:       "The caller has gone.",
+	work.WrongToken:     "The request bears no token that opens this path.",
 	work.WrongAnswer:    "The endpoint answered for another request.",
 	work.NoQuorum:       "The request could not be recorded by a majority in time.",
 	work.LinkLost:       "A link inside the system broke before the whole answer came.",
