Measure the added time of the path side by side

Cause: nothing told what an entry host and an owner on another host add.

Change: `fakes path` sends the same request directly, through the owner and through another host in turn, plain and unrepeatable, and prints medians and 95th percentiles.

--- a/fakes/main.go
+++ b/fakes/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"shallotgap/fakes/loads"
 	"shallotgap/fakes/probe"
 	"shallotgap/fakes/stand"
 )
@@ -26,6 +27,7 @@
 	// Replay measures the serving decisions on a recorded trace.
 	// Probe measures the replicated state.
 	Probe  probe.Command `cmd:"" help:"Measure failure detection, elections, take-overs, edits, starts and idle hosts."`
+	Path   loads.Path    `cmd:"" help:"Measure the added time of the path, side by side with direct requests."`
 	Replay replayer      `cmd:"" help:"Replay a trace through the decision core in virtual time and print what it measures."`
 }
 
