Send the frames that wait together in one WebSocket message

Cause: one message, one encoder and one system call a token: 20 to 23 us a token on one core, where the target (78,000 tokens a second on less than one core) allows 12.8 us for everything.

Ruled out: waiting for more frames before sending (adds time to each token when there is little to do).

Change: a message is a list of frames.

--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -213,23 +213,13 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case f := <-l.queue:
-			if err := writeFrame(ctx, conn, f); err != nil {
+			if err := writeFrames(ctx, conn, gather(f, l.queue)); err != nil {
 				return fmt.Errorf("write to peer %s: %w", l.host.Name, err)
 			}
 		}
 	}
 }
 
-func writeFrame(ctx context.Context, conn *websocket.Conn, f Frame) error {
-	data, err := wire.Marshal(f)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	return conn.Write(ctx, websocket.MessageBinary, data)
-}
-
 // accept receives on a link that another host dialled.
 func (n *Network) accept(w http.ResponseWriter, r *http.Request) {
 	if _, ok := n.Tokens.Check(r); !ok {
@@ -248,13 +238,15 @@
 		if err != nil {
 			break
 		}
-		var f Frame
-		if err := wire.Unmarshal(data, &f); err != nil {
+		var batch []Frame
+		if err := wire.Unmarshal(data, &batch); err != nil {
 			n.Log.WithField("step", "receive").WithError(err).Warn("bad-frame")
 			break
 		}
-		from = f.From
-		n.pass(f)
+		for _, f := range batch {
+			from = f.From
+			n.pass(f)
+		}
 	}
 	if from != "" && r.Context().Err() == nil {
 		n.Receiver.LinkLost(from)
