--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -20,6 +20,7 @@
 	"shallotgap/io/conf"
 	"shallotgap/io/logs"
 	"shallotgap/io/relay"
+	"shallotgap/io/token"
 )
 
 // Frame is what travels on a link; exactly one of Control and Data is set, besides From.
@@ -53,6 +54,8 @@
 	Hosts    []conf.Host
 	Listener net.Listener
 	Receiver Receiver
+	// Tokens are those of peers; nil lets every peer in.
+	Tokens *token.List
 	// Dial opens the connection to a host; nil dials over TCP. Tests cut links with it.
 	Dial DialFunc
 }
@@ -171,7 +174,7 @@
 func (n *Network) dial(ctx context.Context, l *link) error {
 	dialCtx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	conn, _, err := websocket.Dial(dialCtx, "ws://"+l.host.Peer+"/", &websocket.DialOptions{HTTPClient: n.clientFor(l)})
+	conn, _, err := websocket.Dial(dialCtx, "ws://"+l.host.Peer+"/", &websocket.DialOptions{HTTPClient: n.clientFor(l), HTTPHeader: n.Tokens.Header()})
 	if err != nil {
 		return fmt.Errorf("dial peer %s: %w", l.host.Name, err)
 	}
@@ -210,25 +213,19 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case f := <-l.queue:
-			if err := writeFrame(ctx, conn, f); err != nil {
+			if err := writeFrames(ctx, conn, gather(f, l.queue)); err != nil {
 				return fmt.Errorf("write to peer %s: %w", l.host.Name, err)
 			}
 		}
 	}
 }
 
-func writeFrame(ctx context.Context, conn *websocket.Conn, f Frame) error {
-	data, err := wire.Marshal(f)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	return conn.Write(ctx, websocket.MessageBinary, data)
-}
-
 // accept receives on a link that another host dialled.
 func (n *Network) accept(w http.ResponseWriter, r *http.Request) {
+	if _, ok := n.Tokens.Check(r); !ok {
+		http.Error(w, "wrong token", http.StatusUnauthorized)
+		return
+	}
 	conn, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		return
@@ -241,13 +238,15 @@
 		if err != nil {
 			break
 		}
-		var f Frame
-		if err := wire.Unmarshal(data, &f); err != nil {
+		var batch []Frame
+		if err := wire.Unmarshal(data, &batch); err != nil {
 			n.Log.WithField("step", "receive").WithError(err).Warn("bad-frame")
 			break
 		}
-		from = f.From
-		n.pass(f)
+		for _, f := range batch {
+			from = f.From
+			n.pass(f)
+		}
 	}
 	if from != "" && r.Context().Err() == nil {
 		n.Receiver.LinkLost(from)
