--- /dev/null
+++ b/core/claim/again_test.go
@@ -0,0 +1,38 @@
+package claim_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"shallotgap/core/claim"
+	"shallotgap/core/ident"
+)
+
+// A late or doubled release of an earlier try, or of another host, does not free the claim of the next one.
+func TestLateReleaseDoesNotFreeTheNextClaim(t *testing.T) {
+	hold := func(h ident.HostID, try uint32) claim.Open {
+		o := open("k", 1, 100)
+		o.Holder.Host, o.Try = h, try
+		return o
+	}
+	release := func(o claim.Open) claim.Close {
+		return claim.Close{Name: o.Name, Request: o.Request, Holder: o.Holder, Try: o.Try, State: claim.Released}
+	}
+	cases := map[string]struct{ first, next claim.Open }{
+		"another host":             {hold("e1", 0), hold("e2", 1)},
+		"the same host once again": {hold("e1", 0), hold("e1", 1)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := claim.NewBook()
+			assert.Assert(t, b.Open(c.first).Granted)
+			assert.Assert(t, b.Close(release(c.first)))
+			assert.Assert(t, b.Open(c.next).Granted)
+			assert.Assert(t, !b.Close(release(c.first)), "the second release of the first claim counted")
+			assert.Assert(t, !b.Open(c.first).Granted, "a resent first claim was granted")
+			r, _ := b.Get(c.next.Name)
+			assert.Equal(t, r.State, claim.Claimed)
+		})
+	}
+}
--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -66,8 +66,10 @@
 type Close struct {
 	Name
 	Request ident.RequestID `json:"request"`
-	// Holder is the run that held the claim: the same request may have been claimed again by another host.
+	// Holder and Try are those of the claim: the same request may have been claimed again by another host, or by a
+	// later try.
 	Holder Holder  `json:"holder"`
+	Try    uint32  `json:"try,omitempty"`
 	State  State   `json:"state"`
 	Answer *Answer `json:"answer,omitempty"`
 }
@@ -150,7 +152,7 @@
 // still be settled by its holder: it alone knows that nothing was sent, or what the endpoint answered.
 func (b *Book) Close(c Close) bool {
 	r, ok := b.records[c.Name]
-	if !ok || r.Request != c.Request || r.Holder != c.Holder || (r.State != Claimed && r.State != InDoubt) {
+	if !ok || r.Request != c.Request || r.Holder != c.Holder || r.Try != c.Try || (r.State != Claimed && r.State != InDoubt) {
 		return false
 	}
 	r.State = c.State
--- a/core/world/once.go
+++ b/core/world/once.go
@@ -93,7 +93,7 @@
 }
 
 func closing(o claim.Open, s claim.State, a *claim.Answer) state.Command {
-	return state.Command{Close: &claim.Close{Name: o.Name, Request: o.Request, Holder: o.Holder, State: s, Answer: a}}
+	return state.Command{Close: &claim.Close{Name: o.Name, Request: o.Request, Holder: o.Holder, Try: o.Try, State: s, Answer: a}}
 }
 
 // openOf returns the claim that this host holds for a request.
--- a/core/world/stops.go
+++ b/core/world/stops.go
@@ -94,7 +94,11 @@
 
 func (l *leadership) hostWaits(w *World, s drain.Stop, h ident.HostID) string {
 	if l.granter.Expired(h, w.now) {
-		return ""
+		// A lost host that was safe stays so: it was idle, and gets no lease for new work before it has followed.
+		if s.Phase == drain.Safe || l.granter.Silent(h, w.now) > w.Params.LongestRequest {
+			return ""
+		}
+		return fmt.Sprintf("host %s is lost; its work may still run", h)
 	}
 	last, alive := l.granter.Last(h, w.now)
 	switch {
--- a/fakes/matrix/ends.go
+++ b/fakes/matrix/ends.go
@@ -114,6 +114,9 @@
 		return
 	}
 	b.Check.runs(e, d)
+	if r.host.World != r.run {
+		return // the process died meanwhile and its connection is closed
+	}
 	e.running = append(e.running, r)
 	b.At(chunkTime, func() { b.next(r) })
 }
--- a/io/trace/trace.go
+++ b/io/trace/trace.go
@@ -84,7 +84,8 @@
 
 // NewReader reads the header of a trace.
 func NewReader(in io.Reader) (*Reader, error) {
-	r := &Reader{in: bufio.NewReader(in)}
+	// A trace of an older program lacks the settings that came later: their defaults hold.
+	r := &Reader{Header: world.TraceHeader{Params: world.Defaults()}, in: bufio.NewReader(in)}
 	if err := r.read(&r.Header); err != nil {
 		return nil, fmt.Errorf("trace: header: %w", err)
 	}
