--- a/scene/stops_test.go
+++ b/scene/stops_test.go
@@ -38,6 +38,14 @@
 	return f
 }
 
+// startLoad starts callers at the given entry hosts; they end with the test, also with a failed one.
+func startLoad(t *testing.T, entries []string) *fleet.Load {
+	t.Helper()
+	load := fleet.StartLoad(fleet.LoadConfig{Entries: entries, Callers: 8, Model: "feed-advice@v1", Service: "payments", Pause: 2 * time.Millisecond})
+	t.Cleanup(func() { load.Stop() })
+	return load
+}
+
 var edits int
 
 // markStop plans or withdraws a stop at host h.
@@ -101,7 +109,7 @@
 // A stop of each failure domain in turn, with its hosts switched off once it is safe, cuts and doubles no request.
 func TestStopOfEachFailureDomainCutsNoRequest(t *testing.T) {
 	f := newSpread(t)
-	load := fleet.StartLoad(fleet.LoadConfig{Entries: f.URLs(), Callers: 8, Model: "feed-advice@v1", Service: "payments", Pause: 2 * time.Millisecond})
+	load := startLoad(t, f.URLs())
 	for i, domain := range []ident.DomainID{"a", "b", "c"} {
 		stays := f.Hosts[(i+1)%3]
 		assert.Assert(t, markStop(t, stays, drain.Domain, string(domain), false).Accepted)
