Tell callers the units, and of an earlier request its state and id only

Cause: retry-after stood in nanoseconds without a unit, and a refusal for a used key showed the whole claim record with its digest and holder.

Change: a form of its own for callers: retry-after-ms, state and request.

--- a/io/entry/complete.go
+++ b/io/entry/complete.go
@@ -261,7 +261,7 @@
 	}
 	var event bytes.Buffer
 	event.WriteString("event: error\ndata: ")
-	_ = json.NewEncoder(&event).Encode(problemBody{Type: "about:blank", Title: title(r.Reason), Status: status, Refusal: r})
+	_ = json.NewEncoder(&event).Encode(newProblem(status, r))
 	event.WriteString("\n")
 	_, _ = w.Write(event.Bytes())
 	_ = http.NewResponseController(w).Flush()
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -173,14 +173,6 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-// problemBody is the application/problem+json form (RFC 9457) of a refusal.
-type problemBody struct {
-	Type   string `json:"type"`
-	Title  string `json:"title"`
-	Status int    `json:"status"`
-	work.Refusal
-}
-
 // problem answers with a refusal.
 func problem(w http.ResponseWriter, status int, r work.Refusal) {
 	w.Header().Set("Content-Type", "application/problem+json")
@@ -189,5 +181,5 @@
 		w.Header().Set("Retry-After", strconv.Itoa(seconds))
 	}
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(problemBody{Type: "about:blank", Title: title(r.Reason), Status: status, Refusal: r})
+	_ = json.NewEncoder(w).Encode(newProblem(status, r))
 }
--- /dev/null
+++ b/io/entry/problem.go
@@ -0,0 +1,35 @@
+package entry
+
+import (
+	"shallotgap/core/claim"
+	"shallotgap/core/work"
+)
+
+// problemBody is the application/problem+json form (RFC 9457) of a refusal.
+type problemBody struct {
+	Type    string       `json:"type"`
+	Title   string       `json:"title"`
+	Status  int          `json:"status"`
+	Outcome work.Outcome `json:"outcome"`
+	Reason  work.Reason  `json:"reason"`
+	Step    string       `json:"step"`
+	Peer    string       `json:"peer,omitempty"`
+	// RetryAfterMS says in milliseconds what the header Retry-After says in whole seconds.
+	RetryAfterMS int64 `json:"retry-after-ms,omitempty"`
+	// State and Request tell of the earlier request with the same key.
+	State   claim.State `json:"state,omitempty"`
+	Request string      `json:"request,omitempty"`
+}
+
+// newProblem returns what a caller is told of a refusal. Of a stored claim it gets the state and the request's id only.
+func newProblem(status int, r work.Refusal) problemBody {
+	p := problemBody{
+		Type: "about:blank", Title: title(r.Reason), Status: status,
+		Outcome: r.Outcome, Reason: r.Reason, Step: r.Step, Peer: r.Peer, RetryAfterMS: r.RetryAfter.Milliseconds(),
+	}
+	if r.Record != nil {
+		p.State = r.Record.State
+		p.Request = r.Record.Request.String()
+	}
+	return p
+}
