Never say "not-run" of a key whose state could not be read

Cause: GET /v1/requests/KEY at a host that reaches no majority answered 503 with outcome not-run, of a key that had run elsewhere: a caller could have paid twice under a new key.

Change: the outcome there is in-doubt; TestCutOffHostDoesNotDenyAKey asks a cut off entry host and a cut off former leader.

Before: both cases failed with `not-run (work.Outcome) != in-doubt`. After: both pass, and after the link is mended both hosts tell "done".

--- a/io/entry/complete.go
+++ b/io/entry/complete.go
@@ -314,7 +314,8 @@
 	key := ident.Key(r.PathValue("key"))
 	a, err := s.host.Record(r.Context(), claim.Name{Workspace: s.workspace(r), Key: key})
 	if err != nil {
-		problem(w, http.StatusServiceUnavailable, work.Refusal{Outcome: work.NotRun, Reason: work.NoQuorum, Step: "status", RetryAfter: world.RetryLater})
+		// The outcome is that of the request with the key, not that of this question.
+		problem(w, http.StatusServiceUnavailable, work.Refusal{Outcome: work.InDoubt, Reason: work.NoQuorum, Step: "status", RetryAfter: world.RetryLater})
 		return
 	}
 	st := statusOf(a)
