--- a/core/world/world.go
+++ b/core/world/world.go
@@ -136,6 +136,7 @@
 	// holding are the endpoints of other hosts that have an adapter or will have it, by their reports.
 	holding   map[ident.Model][]ident.EndpointID
 	routes    *routeIndex
+	wantsAt   ident.Time // when an empty list of wishes is due
 	sending   map[ident.EndpointID]sending
 	reporting reporting
 }
--- a/scene/process_test.go
+++ b/scene/process_test.go
@@ -70,15 +70,11 @@
 	assert.Assert(t, res.Mark != nil && res.Mark.Accepted, a.Body)
 }
 
-func processLoad(d *procs.Deployment) *fleet.Load {
-	return fleet.StartLoad(fleet.LoadConfig{Entries: d.URLs(), Callers: 8, Model: "feed-advice@v1", Service: "payments", Pause: 2 * time.Millisecond})
-}
-
 // Processes of each failure domain in turn are stopped for the landlord, killed once they are safe, and started
 // again: no request is cut, none runs twice.
 func TestProcessesOfEachFailureDomainStopWithoutCut(t *testing.T) {
 	d := newProcesses(t)
-	load := processLoad(d)
+	load := startLoad(t, d.URLs())
 	for i, domain := range []string{"a", "b", "c"} {
 		stays := d.Hosts[(i+1)%3]
 		markProcess(t, stays, drain.Mark{ID: ident.EditID("stop-" + domain), Target: drain.Domain, Name: domain})
@@ -113,7 +109,7 @@
 // A process that is told to stop drains and ends by itself; a second signal ends it at once.
 func TestProcessEndsAfterSignal(t *testing.T) {
 	d := newProcesses(t)
-	load := processLoad(d)
+	load := startLoad(t, d.URLs())
 	for _, h := range d.Hosts[3:5] {
 		h.Signal(syscall.SIGTERM)
 		drains := func() bool {
@@ -136,7 +132,7 @@
 func TestProcessesKilledAtRandomDoubleNothing(t *testing.T) {
 	d := newProcesses(t)
 	random := rand.New(rand.NewPCG(processSeed, 1))
-	load := processLoad(d)
+	load := startLoad(t, d.URLs())
 	for n := range 8 {
 		h := d.Hosts[random.IntN(len(d.Hosts))]
 		before := load.Count()
