Let a browser show the operators' token as its password

Cause: with operators' tokens set, the web page could not be opened: a browser cannot send a bearer token by itself. Ruled out: a login form with a cookie (state, and a second secret to guard); tokens in addresses (they land in logs). Change: a token is also taken as the password of basic authentication, in the same constant-time comparison; the refusal of an operators' path lets the browser ask. Figures: TestCheckNamesTheToken/a_browser's_password before: "(got string) != zahlwerk"; after: passes. Conclusion: the page can be used where tokens are set; tried by test only, not in Chromium.

--- a/io/entry/gate.go
+++ b/io/entry/gate.go
@@ -34,6 +34,10 @@
 	name, ok := list.Check(r)
 	if !ok {
 		w.Header().Set("WWW-Authenticate", "Bearer")
+		if list == g.Tokens.Operators {
+			// Lets a browser ask for the token, as the password, for the web page.
+			w.Header().Add("WWW-Authenticate", `Basic realm="shallotgap operators"`)
+		}
 		problem(w, http.StatusUnauthorized, work.Refusal{Outcome: work.NotRun, Reason: work.WrongToken, Step: "admit"})
 		return
 	}
--- a/io/token/token.go
+++ b/io/token/token.go
@@ -78,8 +78,7 @@
 	if l == nil {
 		return "", true
 	}
-	secret, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	digest := sha256.Sum256([]byte(secret))
+	digest := sha256.Sum256([]byte(secretOf(r)))
 	name, found := "", false
 	for _, x := range l.items {
 		if subtle.ConstantTimeCompare(x.digest[:], digest[:]) == 1 {
@@ -89,6 +88,15 @@
 	return name, found
 }
 
+// secretOf returns the token of a request: a bearer token, or the password that a browser asked its user for.
+func secretOf(r *http.Request) string {
+	if _, password, ok := r.BasicAuth(); ok {
+		return password
+	}
+	secret, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return secret
+}
+
 // Set are the lists of all kinds of clients.
 type Set struct {
 	Callers   *List
--- a/io/token/token_test.go
+++ b/io/token/token_test.go
@@ -1,6 +1,7 @@
 package token_test
 
 import (
+	"encoding/base64"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -14,6 +15,11 @@
 
 const secret = "0123456789abcdef"
 
+// basic is the header of a browser whose user typed a password.
+func basic(password string) string {
+	return "Basic " + base64.StdEncoding.EncodeToString([]byte("anyone:"+password))
+}
+
 func write(t *testing.T, text string) string {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), "tokens")
@@ -43,11 +49,14 @@
 		header, name string
 		ok           bool
 	}{
-		"first":      {header: "Bearer " + secret, name: "zahlwerk", ok: true},
-		"second":     {header: "Bearer " + strings.ToUpper(secret), name: "mungitura", ok: true},
-		"none":       {},
-		"part":       {header: "Bearer " + secret[:15]},
-		"with space": {header: "Bearer  " + secret},
+		"first":                      {header: "Bearer " + secret, name: "zahlwerk", ok: true},
+		"second":                     {header: "Bearer " + strings.ToUpper(secret), name: "mungitura", ok: true},
+		"none":                       {},
+		"part":                       {header: "Bearer " + secret[:15]},
+		"a browser's password":       {header: basic(secret), name: "zahlwerk", ok: true},
+		"a browser's wrong password": {header: basic(secret + "x")},
+		"a browser without one":      {header: basic("")},
+		"with space":                 {header: "Bearer  " + secret},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
