--- a/fakes/matrix/cells.go
+++ b/fakes/matrix/cells.go
@@ -75,12 +75,13 @@
 	Struck   int
 	Answered int
 	Refused  int
+	Evicted  int
 	Broken   []string
 }
 
 // String returns one line for a log.
 func (r Report) String() string {
-	return fmt.Sprintf("%s seed=%d struck=%d answered=%d refused=%d broken=%d", r.Cell, r.Seed, r.Struck, r.Answered, r.Refused, len(r.Broken))
+	return fmt.Sprintf("%s seed=%d struck=%d answered=%d refused=%d evicted=%d broken=%d", r.Cell, r.Seed, r.Struck, r.Answered, r.Refused, r.Evicted, len(r.Broken))
 }
 
 // Run runs a cell and returns what was seen.
@@ -100,7 +101,7 @@
 	b.plan(span)
 	b.Fleet.Run(span)
 	b.checkLive()
-	r.Answered, r.Refused, r.Broken = b.Check.Answered, b.Check.Refused, b.Check.Broken
+	r.Answered, r.Refused, r.Evicted, r.Broken = b.Check.Answered, b.Check.Refused, b.Check.Evictions, b.Check.Broken
 	if r.Struck != len(c.Faults) {
 		r.Broken = append(r.Broken, fmt.Sprintf("the step was reached %d times of %d", r.Struck, len(c.Faults)))
 	}
--- a/fakes/matrix/check.go
+++ b/fakes/matrix/check.go
@@ -53,6 +53,8 @@
 	Broken   []string
 	// Answered and Refused count the ends of requests.
 	Answered, Refused int
+	// Evictions counts the orders to give up an adapter.
+	Evictions int
 	// Failures tells of the requests that were refused.
 	Failures []string
 }
@@ -95,6 +97,7 @@
 
 // evicts takes an order to give up an adapter.
 func (c *Checker) evicts(e *endpoint, m ident.Model) {
+	c.Evictions++
 	for _, r := range e.running {
 		if r.dispatch.Request.Model == m {
 			c.broken(NoEviction, "%s is evicted from %s under request %s", m, e.ID, r.dispatch.Request.ID)
--- a/fakes/matrix/ends.go
+++ b/fakes/matrix/ends.go
@@ -15,7 +15,7 @@
 // slotsOf and chunksOf are the slots of an engine and the pieces of an answer.
 const (
 	slotsOf  = 2
-	chunksOf = 3
+	chunksOf = 9
 )
 
 // endpoint is a scripted engine or plain service. The engine of domain b and the service of domain c ignore fences.
@@ -140,7 +140,14 @@
 		if r.over {
 			return
 		}
-		b.trigger([]Step{FirstToken, MidStream, Answer}[c.seq], r.host)
+		switch c.seq {
+		case 0:
+			b.trigger(FirstToken, r.host)
+		case chunksOf / 2:
+			b.trigger(MidStream, r.host)
+		case chunksOf - 1:
+			b.trigger(Answer, r.host)
+		}
 		if r.host.World != r.run {
 			return
 		}
--- a/fakes/matrix/load.go
+++ b/fakes/matrix/load.go
@@ -17,7 +17,7 @@
 
 // Sizes of the load.
 const (
-	callers   = 6
+	callers   = 8
 	adapters  = 8
 	thinkTime = 20 * time.Millisecond
 	patience  = 2 * time.Second // of a request
@@ -25,7 +25,7 @@
 	retries   = 3
 )
 
-// caller sends one request after another; every third one may run only once and is sent again under its key.
+// caller sends one request after another; every fourth one may run only once and is sent again under its key.
 type caller struct {
 	bench   *Bench
 	n       int
@@ -48,7 +48,7 @@
 	c.turn++
 	c.tries = 0
 	c.request = work.Request{Workspace: "w", Left: patience, Urgency: work.Normal}
-	switch c.turn % 3 {
+	switch c.turn % 4 {
 	case 0:
 		c.request.Service = "payments"
 		c.request.Key = ident.Key(fmt.Sprintf("k-%d-%d", c.n, c.turn))
@@ -56,7 +56,7 @@
 	case 1:
 		c.request.Service = "payments"
 	default:
-		c.request.Model = modelOf(c.turn % adapters)
+		c.request.Model = modelOf((c.turn*5 + c.n) % adapters)
 	}
 	c.send()
 }
