Show that a leaving endpoint gets nothing new, also from a host that is cut off

Cause: the graceful shutdown of an endpoint was shown only in virtual time. Ruled out: nothing. Change: the stand-ins can leave (fakes/stand/leave.go); scene/leave_test.go cuts one host off, lets a service leave and compares its count of runs after 3 s with the one after it was forgotten and 100 further requests.

--- a/fakes/stand/announce.go
+++ b/fakes/stand/announce.go
@@ -22,6 +22,7 @@
 	MaxRunning  int    `json:"max-running"`
 	Instance    uint64 `json:"instance"`
 	ChecksFence bool   `json:"checks-fence,omitempty"`
+	Leaving     bool   `json:"leaving,omitempty"`
 	EchoesID    bool   `json:"echoes-id,omitempty"`
 	// Token is shown to the entry hosts; empty for none.
 	Token string `json:"-"`
--- a/fakes/stand/engine.go
+++ b/fakes/stand/engine.go
@@ -32,6 +32,7 @@
 type Engine struct {
 	EngineConfig
 	Switches
+	leaver
 	runs
 	engineMu sync.Mutex
 	instance uint64
@@ -82,7 +83,7 @@
 	defer e.engineMu.Unlock()
 	return Announcement{
 		ID: e.ID, Kind: "engine", URL: url, Domain: e.Domain, Service: e.Model,
-		Slots: e.Slots, MaxRunning: e.Batch, Instance: e.instance, ChecksFence: !e.Unfenced, EchoesID: !e.Mute, Token: e.Token,
+		Slots: e.Slots, MaxRunning: e.Batch, Instance: e.instance, ChecksFence: !e.Unfenced, Leaving: e.leaves(), EchoesID: !e.Mute, Token: e.Token,
 	}
 }
 
--- a/fakes/stand/plain.go
+++ b/fakes/stand/plain.go
@@ -21,6 +21,7 @@
 type Plain struct {
 	PlainConfig
 	Switches
+	leaver
 	runs
 	instance uint64
 }
@@ -67,7 +68,7 @@
 
 // Announcement returns what the service says of itself when it is reached at url.
 func (s *Plain) Announcement(url string) Announcement {
-	return Announcement{ID: s.ID, Kind: "plain", URL: url, Domain: s.Domain, Service: s.Service, MaxRunning: plainBatch, Instance: s.instance, Token: s.Token}
+	return Announcement{ID: s.ID, Kind: "plain", URL: url, Domain: s.Domain, Service: s.Service, MaxRunning: plainBatch, Instance: s.instance, Leaving: s.leaves(), Token: s.Token}
 }
 
 // Handler returns the service's HTTP side.
