Give the news of a safe stop the stated 3 s to reach another host

Ruled out: dropping the question (then nothing shows that the others learn it); a wait without a stated bound. Change: the check waits for at most the users' 3 s. Conclusion: the check is as strict as the promise. Another failure of this test, endpoint-failed answers under a load above 30, was seen once and is not explained.

--- a/scene/drain_test.go
+++ b/scene/drain_test.go
@@ -6,9 +6,13 @@
 
 	"gotest.tools/v3/assert"
 
+	"shallotgap/core/drain"
 	"shallotgap/fakes/fleet"
 )
 
+// inForce is the users' bound on the time until an accepted change is in force everywhere.
+const inForce = 3 * time.Second
+
 // A host that is told to stop ends its work, moves what it owns and ends, and its stop is withdrawn when it is back.
 func TestToldToStopCutsNoRequest(t *testing.T) {
 	f := newSpread(t)
@@ -16,8 +20,8 @@
 	h := f.Hosts[0]
 	f.Drain(h)
 	assert.NilError(t, h.Err)
-	phase, _ := phaseOf(f.Hosts[1], "host/e1")
-	assert.Equal(t, string(phase), "safe")
+	safe := func() bool { phase, _ := phaseOf(f.Hosts[1], "host/e1"); return phase == drain.Safe }
+	assert.Assert(t, fleet.Await(inForce, safe), "the host ended, but its stop is not safe in the eyes of e2")
 	assert.NilError(t, f.Restart(h))
 	gone := func() bool { phase, _ := phaseOf(f.Hosts[1], "host/e1"); return phase == "" }
 	assert.Assert(t, fleet.Await(settleTime, gone), "the stop stands after the host is back")
