Share by weight, enforce limits, and retry failed loads elsewhere

Ruled out: trying the same engine again at once; refusing re-routed requests when the budget is empty (they wait). Change: start-time fair queueing between workspaces; limits of rows at their homes; refusal at once of what cannot make its deadline; failed loads go to other engines with back-off, at most three tries, bulk stays; a request that an engine rejects unrun goes back to its entry host; a retry budget; grants go back when unused or when the grantee's lease ends.

--- a/core/place/budget.go
+++ b/core/place/budget.go
@@ -44,6 +44,17 @@
 	Model    ident.Model      `json:"model"`
 }
 
+// Done tells the leader that a grant is over.
+type Done struct {
+	Grant
+	// Unused is set when no load was started; Failed when it was, and failed.
+	Unused bool `json:"unused,omitempty"`
+	Failed bool `json:"failed,omitempty"`
+}
+
+// freeFailures is the number of engines that may fail to load an adapter before it has to wait everywhere.
+const freeFailures = 2
+
 // GrantLife is how long a granted load counts against the store's budget when its end is not reported.
 const GrantLife = 10 * time.Second
 
@@ -55,6 +66,7 @@
 	flying   []flight
 	tokens   float64
 	filled   ident.Time
+	failed   failures
 }
 
 type owned struct {
@@ -82,9 +94,28 @@
 	}
 }
 
-// Done ends a load and frees its place in flight.
-func (b *Budget) Done(g Grant) {
-	b.flying = slices.DeleteFunc(b.flying, func(f flight) bool { return f.Grant == g })
+// Done ends a load and frees its place in flight; an unused grant gives its part of the rate back as well.
+func (b *Budget) Done(d Done, now ident.Time) {
+	before := len(b.flying)
+	b.flying = slices.DeleteFunc(b.flying, func(f flight) bool { return f.Grant == d.Grant })
+	if len(b.flying) == before {
+		return
+	}
+	switch {
+	case d.Unused:
+		b.tokens = min(max(1, b.Rate), b.tokens+1)
+	case d.Failed:
+		b.failures().add(d.Model, now, freeFailures)
+	default:
+		delete(b.failed, d.Model)
+	}
+}
+
+func (b *Budget) failures() failures {
+	if b.failed == nil {
+		b.failed = failures{}
+	}
+	return b.failed
 }
 
 // Forget drops the wishes and loads of a host that is gone.
@@ -99,14 +130,20 @@
 	b.flying = slices.DeleteFunc(b.flying, func(f flight) bool { return now.Sub(f.at) > GrantLife })
 	slices.SortFunc(b.wants, func(x, y owned) int { return compareWants(x.Want, y.Want) })
 	var list []Granted
+	var held []owned
 	for len(b.wants) > 0 && b.tokens >= 1 && len(b.flying) < b.InFlight {
 		w := b.wants[0]
 		b.wants = b.wants[1:]
+		if b.failed.waits(w.Model, now) {
+			held = append(held, w)
+			continue
+		}
 		g := Grant{Endpoint: w.Endpoint, Model: w.Model}
 		b.tokens--
 		b.flying = append(b.flying, flight{Grant: g, host: w.host, at: now})
 		list = append(list, Granted{Grant: g, Host: w.host})
 	}
+	b.wants = append(b.wants, held...)
 	return list
 }
 
--- a/core/place/evict.go
+++ b/core/place/evict.go
@@ -16,7 +16,7 @@
 		return nil
 	}
 	var list []Want
-	for _, it := range s.heads() {
+	for _, it := range s.heads(now) {
 		if _, ok := s.Room(it.Urgency, now); ok {
 			list = append(list, s.want(it, now))
 		}
@@ -24,11 +24,12 @@
 	return list
 }
 
-// heads returns the first waiting request of each adapter that is neither resident nor loading, in order.
-func (s *Site) heads() []*Item {
+// heads returns the first waiting request of each adapter that is neither resident nor loading, in order; those whose
+// load failed a short time ago are left out.
+func (s *Site) heads(now ident.Time) []*Item {
 	var heads []*Item
 	for m, group := range s.groups {
-		if s.Slots[m] == nil {
+		if s.Slots[m] == nil && !s.failed.waits(m, now) {
 			heads = append(heads, group[0])
 		}
 	}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -3,9 +3,12 @@
 
 import (
 	"slices"
+	"time"
 
 	"shallotgap/core/ident"
 	"shallotgap/core/lease"
+	"shallotgap/core/rows"
+	"shallotgap/core/share"
 	"shallotgap/core/work"
 )
 
@@ -41,13 +44,18 @@
 	FrozenUntil ident.Time
 
 	groups map[ident.Model][]*Item // the waiting requests of each adapter, in the order in which they go
+	fair   share.Fair
+	rows   map[rows.RowKey]int // running requests of each row
+	failed failures
 	seq    uint64
 	uses   uses
+	// meanRun is the mean running time of the latest requests.
+	meanRun time.Duration
 }
 
 // NewSite returns a site taken over at now.
 func NewSite(o lease.Owned, p Policy, now, frozenUntil ident.Time) *Site {
-	return &Site{Owned: o, Policy: p, Slots: map[ident.Model]*Slot{}, Heard: now, FrozenUntil: frozenUntil, groups: map[ident.Model][]*Item{}, uses: uses{}}
+	return &Site{Owned: o, Policy: p, Slots: map[ident.Model]*Slot{}, Heard: now, FrozenUntil: frozenUntil, groups: map[ident.Model][]*Item{}, uses: uses{}, failed: failures{}, rows: map[rows.RowKey]int{}}
 }
 
 // Report is what an owner tells the other hosts about a site.
@@ -87,6 +95,7 @@
 func (s *Site) Add(it *Item) {
 	s.seq++
 	it.seq = s.seq
+	it.tag = s.fair.Tag(it.Workspace, it.cost(), it.weight())
 	s.Queue = append(s.Queue, it)
 	if s.HalfLife > 0 {
 		s.uses.add(it.Model, it.Arrived, s.HalfLife)
@@ -165,6 +174,8 @@
 	s.Remove(it.ID)
 	it.Running = true
 	it.Started = now
+	s.fair.Served(it.tag)
+	s.rows[it.Row()]++
 	s.Running++
 	if it.Urgency == work.Bulk {
 		s.BulkRunning++
@@ -182,6 +193,10 @@
 func (s *Site) End(it *Item, now ident.Time) {
 	it.Running = false
 	s.Running--
+	if s.rows[it.Row()]--; s.rows[it.Row()] <= 0 {
+		delete(s.rows, it.Row())
+	}
+	s.learn(now.Sub(it.Started))
 	if it.Urgency == work.Bulk {
 		s.BulkRunning--
 	}
@@ -192,6 +207,9 @@
 	}
 }
 
+// RunningOf returns the number of running requests of a row.
+func (s *Site) RunningOf(k rows.RowKey) int { return s.rows[k] }
+
 // Restarted empties the slots of an engine that has started anew.
 func (s *Site) Restarted() { s.Slots = map[ident.Model]*Slot{} }
 
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -39,3 +39,96 @@
 	_, ok := s.Room(work.Normal, 4)
 	assert.Assert(t, !ok, "the adapter of a running request could be evicted")
 }
+
+func want(host, adapter string, waiting int) Want {
+	return Want{Endpoint: ident.EndpointID("engine-of-" + host), Model: model(adapter), Waiting: waiting, Weight: float64(waiting), Urgency: work.Normal, Slack: time.Second}
+}
+
+// Whatever becomes of a grant, the next wish gets its turn: after the time to tells, well before GrantLife.
+func TestGrantsThatAreLostGoBack(t *testing.T) {
+	first := Grant{Endpoint: "engine-of-h1", Model: model("a")}
+	cases := map[string]struct {
+		act func(*Budget)
+		at  time.Duration
+	}{
+		"unused":       {act: func(b *Budget) { b.Done(Done{Grant: first, Unused: true}, 0) }},
+		"loaded":       {act: func(b *Budget) { b.Done(Done{Grant: first}, 0) }, at: time.Second},
+		"failed":       {act: func(b *Budget) { b.Done(Done{Grant: first, Failed: true}, 0) }, at: time.Second},
+		"grantee died": {act: func(b *Budget) { b.Forget("h1") }, at: time.Second},
+		"never ended":  {act: func(*Budget) {}, at: GrantLife + 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := &Budget{Rate: 1, InFlight: 1, tokens: 1}
+			b.SetWants("h1", []Want{want("h1", "a", 5)})
+			b.SetWants("h2", []Want{want("h2", "b", 1)})
+			assert.Equal(t, b.Spend(0)[0].Grant, first)
+			assert.Equal(t, len(b.Spend(0)), 0)
+			c.act(b)
+			got := b.Spend(ident.Time(c.at))
+			assert.Equal(t, len(got), 1)
+			assert.Equal(t, got[0].Host, ident.HostID("h2"))
+		})
+	}
+}
+
+// An adapter that fails to load everywhere takes a part of the budget that shrinks, and others go on.
+func TestAFailingLoadDoesNotBlockOthers(t *testing.T) {
+	b := &Budget{Rate: 10, InFlight: 1, tokens: 1}
+	broken, sound := 0, 0
+	for at := ident.Time(0); at < ident.Time(time.Minute); at = at.Add(100 * time.Millisecond) {
+		b.SetWants("h1", []Want{want("h1", "broken", 50)})
+		b.SetWants("h2", []Want{want("h2", "sound", 1)})
+		for _, g := range b.Spend(at) {
+			failed := g.Model == model("broken")
+			if failed {
+				broken++
+			} else {
+				sound++
+			}
+			b.Done(Done{Grant: g.Grant, Failed: failed}, at)
+		}
+	}
+	assert.Assert(t, broken <= 12, "%d of the loads went to the broken adapter", broken)
+	assert.Assert(t, sound >= 500, "only %d loads for the sound adapter", sound)
+}
+
+// Under a stream of requests for the adapters that hold all slots, another workspace still gets its turn.
+func TestNoAdapterStarvesForASlot(t *testing.T) {
+	cases := map[string]struct {
+		urgency work.Urgency
+		within  time.Duration
+	}{
+		"urgent among bulk": {urgency: work.Urgent, within: 5 * time.Second},
+		"bulk among bulk":   {urgency: work.Bulk, within: 40 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(1)
+			s.Policy = Policy{Turn: 30 * time.Second, HalfLife: time.Minute}
+			s.Slots[model("hot")] = &Slot{Model: model("hot"), Bulk: true}
+			var running *Item
+			seq := uint64(1)
+			cold := item(seq, "cold", c.urgency)
+			cold.Workspace = "other"
+			for now := ident.Time(0); now < ident.Time(c.within); now = now.Add(time.Second) {
+				if running != nil {
+					s.End(running, now)
+				}
+				seq++
+				s.Add(item(seq, "hot", work.Bulk))
+				if now == ident.Time(time.Second) {
+					s.Add(cold)
+				}
+				s.Turns(now)
+				if evict, ok := s.Room(c.urgency, now); ok && s.Wanted(cold.Model) && evict != nil {
+					return
+				}
+				if running = s.Next(func(*Item) bool { return true }); running != nil {
+					s.Start(running, now)
+				}
+			}
+			t.Fatal("the adapter got no slot")
+		})
+	}
+}
--- a/core/place/turn.go
+++ b/core/place/turn.go
@@ -10,7 +10,7 @@
 // that wait for the slot's own adapter.
 func (s *Site) Turns(now ident.Time) {
 	taken, needed := 0, 0
-	for _, it := range s.heads() {
+	for _, it := range s.heads(now) {
 		if !s.mayTurn(it, now) {
 			continue
 		}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -37,6 +37,7 @@
 	BySecond   Cause = "second-home" // the home has much more to do
 	ByCopy     Cause = "copy"        // all endpoints that have the adapter have much more to do
 	ByLoad     Cause = "least-loaded"
+	ByLimit    Cause = "limited" // one of the few homes of a row with limits
 )
 
 // Policy is the setting of the choice; loads are requests for each place in the batch.
--- a/core/world/control.go
+++ b/core/world/control.go
@@ -68,7 +68,7 @@
 	case m.Grant != nil:
 		w.granted(*m.Grant)
 	case m.Done != nil:
-		w.lead.loadDone(*m.Done)
+		w.lead.loadDone(w, *m.Done)
 	case m.Handover != nil:
 		w.handedOver(from, *m.Handover)
 	case m.Alive != nil:
--- a/core/world/lead.go
+++ b/core/world/lead.go
@@ -162,9 +162,9 @@
 	}
 }
 
-func (l *leadership) loadDone(g place.Grant) {
+func (l *leadership) loadDone(w *World, d place.Done) {
 	if l != nil {
-		l.budget.Done(g)
+		l.budget.Done(d, w.now)
 	}
 }
 
@@ -178,6 +178,7 @@
 	l.push(w)
 	l.assign(w)
 	l.abandon(w)
+	l.forgetLost(w)
 	for _, g := range l.budget.Spend(w.now) {
 		grant := g.Grant
 		w.send(g.Host, Message{Grant: &grant})
@@ -185,6 +186,15 @@
 	l.stops(w)
 }
 
+// forgetLost frees the loads and drops the wishes of hosts whose lease has ended.
+func (l *leadership) forgetLost(w *World) {
+	for _, h := range l.granter.Hosts() {
+		if l.granter.Expired(h, w.now) {
+			l.budget.Forget(h)
+		}
+	}
+}
+
 // push sends new commands to the hosts without a log.
 func (l *leadership) push(w *World) {
 	if w.state.Applied == l.pushed {
--- /dev/null
+++ b/core/world/retry.go
@@ -0,0 +1,47 @@
+package world
+
+import (
+	"time"
+
+	"shallotgap/core/ident"
+	"shallotgap/core/work"
+)
+
+// Bounds of retries.
+const (
+	// avoidFor is how long an entry host does not send an adapter's requests to an engine that failed to load it.
+	avoidFor = time.Second
+	// maxTries is the number of engines that are tried for a request whose adapter fails to load.
+	maxTries = 3
+)
+
+// avoidKey names an adapter at an engine that failed to load it.
+type avoidKey struct {
+	endpoint ident.EndpointID
+	model    ident.Model
+}
+
+// avoid notes the engine at which a returned request's adapter failed to load.
+func (w *World) avoid(r work.Request, why work.Refusal) {
+	if why.Reason == work.LoadFailed {
+		w.avoided[avoidKey{endpoint: ident.EndpointID(why.Peer), model: r.Model}] = w.now.Add(avoidFor)
+	}
+}
+
+// forgetAvoided drops what need not be avoided any longer.
+func (w *World) forgetAvoided() {
+	for k, until := range w.avoided {
+		if w.now >= until {
+			delete(w.avoided, k)
+		}
+	}
+}
+
+// mayRetry reports whether a returned request may be sent again now. The first move to another owner is free, since
+// a planned stop must not depend on a budget; all else takes from the budget, and waits while that is empty.
+func (w *World) mayRetry(r returned) bool {
+	if r.request.Try == 0 && r.refusal.Reason != work.LoadFailed {
+		return true
+	}
+	return w.retries.Take()
+}
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -15,6 +15,7 @@
 	"shallotgap/core/place"
 	"shallotgap/core/quorum"
 	"shallotgap/core/route"
+	"shallotgap/core/share"
 	"shallotgap/core/state"
 	"shallotgap/core/wire"
 )
@@ -137,6 +138,9 @@
 	routes   *routeIndex
 	reportAt ident.Time
 	sending  map[ident.EndpointID]sending
+	rates    map[rateKey]*share.Bucket
+	avoided  map[avoidKey]ident.Time
+	retries  share.Retries
 	sent     map[ident.EndpointID]string
 }
 
@@ -160,6 +164,8 @@
 		taken:    map[ident.EndpointID]*takenSite{},
 		stray:    map[ident.RequestID]bool{},
 		sending:  map[ident.EndpointID]sending{},
+		rates:    map[rateKey]*share.Bucket{},
+		avoided:  map[avoidKey]ident.Time{},
 	}
 	if c.Stored == nil {
 		return w, nil
