--- a/core/world/world.go
+++ b/core/world/world.go
@@ -15,6 +15,7 @@
 	"shallotgap/core/place"
 	"shallotgap/core/quorum"
 	"shallotgap/core/route"
+	"shallotgap/core/share"
 	"shallotgap/core/state"
 	"shallotgap/core/wire"
 )
@@ -139,6 +140,9 @@
 	wantsAt   ident.Time // when an empty list of wishes is due
 	sending   map[ident.EndpointID]sending
 	reporting reporting
+	rates     map[rateKey]*share.Bucket
+	avoided   map[avoidKey]ident.Time
+	retries   share.Retries
 }
 
 // New returns the world of a host that starts at c.Now.
@@ -164,6 +168,8 @@
 		backs:     map[ident.RequestID]*backward{},
 		// Tickets of two runs never meet, so that a late answer to the earlier run matches nothing.
 		tickets: Ticket(c.Incarnation),
+		rates:   map[rateKey]*share.Bucket{},
+		avoided: map[avoidKey]ident.Time{},
 	}
 	if c.Stored == nil {
 		return w, nil
