--- a/core/work/work.go
+++ b/core/work/work.go
@@ -41,8 +41,6 @@
 	// KeyEnds is the caller's wall-clock second (Unix) from which the key may not be used; 0 where it gave none.
 	KeyEnds int64   `json:"key-ends,omitempty"`
 	Urgency Urgency `json:"urgency"`
-	// Prefix is a hash of the first part of the prompt, for routing by prefix cache; 0 for none.
-	Prefix uint64 `json:"prefix,omitempty"`
 	// Tokens is the largest number of tokens to generate; 0 when not stated.
 	Tokens int `json:"tokens,omitempty"`
 }
--- /dev/null
+++ b/io/entry/header.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"shallotgap/core/claim"
+	"shallotgap/core/ident"
+	"shallotgap/core/work"
+)
+
+var urgencies = map[string]work.Urgency{"": work.Normal, "bulk": work.Bulk, "normal": work.Normal, "urgent": work.Urgent}
+
+// newRequest reads the headers that all kinds of requests share.
+func (s *Server) newRequest(r *http.Request, body []byte) (work.Request, error) {
+	req := work.Request{ID: s.host.NextID(), Workspace: s.workspace(r), Left: defaultTimeout}
+	urgency, ok := urgencies[r.Header.Get(UrgencyHeader)]
+	if !ok {
+		return req, errors.New("bad-urgency")
+	}
+	req.Urgency = urgency
+	if text := r.Header.Get(TimeoutHeader); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil || d <= 0 || d > maxTimeout {
+			return req, errors.New("bad-timeout")
+		}
+		req.Left = d
+	}
+	key := r.Header.Get(KeyHeader)
+	if len(key) > maxKey {
+		return req, errors.New("bad-key")
+	}
+	req.Key = ident.Key(key)
+	if err := readDeadline(r, &req, time.Now()); err != nil {
+		return req, err
+	}
+	if req.Once() {
+		req.Digest = digestOf(r, body)
+	}
+	return req, nil
+}
+
+// readDeadline takes the absolute deadline, which bounds the life of the key.
+func readDeadline(r *http.Request, req *work.Request, now time.Time) error {
+	text := r.Header.Get(DeadlineHeader)
+	if text == "" {
+		return nil
+	}
+	end, err := time.Parse(time.RFC3339, text)
+	if err != nil || end.After(now.Add(maxKeyLife)) {
+		return errors.New("bad-deadline")
+	}
+	if !end.After(now) {
+		return errors.New(string(work.KeyExpired))
+	}
+	req.KeyEnds = end.Unix()
+	req.Left = min(req.Left, end.Sub(now))
+	return nil
+}
+
+func digestOf(r *http.Request, body []byte) claim.Digest {
+	h := sha256.New()
+	_, _ = io.WriteString(h, r.Method+" "+r.URL.RequestURI()+"\n"+r.Header.Get(DeadlineHeader)+"\n")
+	_, _ = h.Write(body)
+	return claim.Digest(h.Sum(nil))
+}
