--- a/core/place/policy.go
+++ b/core/place/policy.go
@@ -15,12 +15,7 @@
 	HalfLife time.Duration
 }
 
-// FavourStalls returns the policy for short load stalls.
-func FavourStalls() Policy {
-	return Policy{UrgentSlots: 1, UrgentPlaces: 2, Turn: 2 * time.Minute, HalfLife: 20 * time.Second}
-}
-
-// FavourBatches returns the policy for full batches of bulk work.
-func FavourBatches() Policy {
+// DefaultPolicy returns the policy that holds where the settings name none.
+func DefaultPolicy() Policy {
 	return Policy{UrgentSlots: 1, UrgentPlaces: 2, Turn: 2 * time.Minute, HalfLife: 20 * time.Second}
 }
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -88,7 +88,7 @@
 		LongestRequest:  10 * time.Minute,
 		StoreRate:       2,
 		StoreInFlight:   8,
-		Policy:          place.FavourStalls(),
+		Policy:          place.DefaultPolicy(),
 		Routing:         route.DefaultPolicy(),
 		KeyLife:         24 * time.Hour,
 		CompactAfter:    4096,
--- a/fakes/replay/trace.go
+++ b/fakes/replay/trace.go
@@ -84,7 +84,7 @@
 	p := common()
 	p.Name = "zahlwerk"
 	p.Engines = 10
-	p.Policy = place.FavourStalls()
+	p.Policy = place.DefaultPolicy()
 	p.Rate = 2
 	p.Streams = []Stream{
 		{Urgency: work.Urgent, Bursts: 1.5, Size: 1, Left: 15 * time.Second, Tokens: 48},
@@ -100,7 +100,7 @@
 	p := common()
 	p.Name = "mungitura"
 	p.Engines = 12
-	p.Policy = place.FavourBatches()
+	p.Policy = place.DefaultPolicy()
 	p.Rate = 3
 	p.Streams = []Stream{
 		{Urgency: work.Urgent, Bursts: 1, Size: 1, Left: 15 * time.Second, Tokens: 48},
