--- a/fakes/sizes/sizes.go
+++ b/fakes/sizes/sizes.go
@@ -10,6 +10,7 @@
 	"shallotgap/core/feed"
 	"shallotgap/core/ident"
 	"shallotgap/core/lease"
+	"shallotgap/core/quorum"
 	"shallotgap/core/rows"
 	"shallotgap/core/state"
 	"shallotgap/core/wire"
@@ -132,7 +133,7 @@
 	stored.Snapshot.Data = data
 	stored.Snapshot.Index = st.Applied
 	stored.Snapshot.Term = 1
-	stored.Snapshot.Members = append(stored.Snapshot.Members, voter())
+	stored.Snapshot.Members = append(stored.Snapshot.Members, quorum.Member{Host: HostName(0), Disk: stored.Disk, Voter: true})
 	d, err := newDriver(s, stored)
 	if err != nil {
 		return nil, err
