--- a/core/rows/rows.go
+++ b/core/rows/rows.go
@@ -183,7 +183,7 @@
 	if r.Weight < 1 || r.Weight > MaxWeight {
 		return fmt.Errorf("edit: weight %d is outside 1 to %d", r.Weight, MaxWeight)
 	}
-	if max(len(r.Workspace), len(r.Adapter), len(r.Version)) > MaxNameLen {
+	if max(len(r.Workspace), len(r.Adapter), len(r.Version), len(r.Previous), len(r.Base)) > MaxNameLen {
 		return fmt.Errorf("edit: a name is longer than %d bytes", MaxNameLen)
 	}
 	return nil
--- a/io/admin/page.go
+++ b/io/admin/page.go
@@ -156,6 +156,7 @@
 		Adapter:   ident.Adapter(r.FormValue("adapter")),
 		Version:   ident.Version(r.FormValue("version")),
 		Previous:  ident.Version(r.FormValue("previous")),
+		Base:      ident.Service(r.FormValue("base")),
 	}
 	e := rows.Edit{ID: ident.EditID(r.FormValue("edit-id")), Key: rows.KeyOf(row.Workspace, row.Adapter), Row: &row}
 	numbers := map[string]*uint32{"weight": &row.Weight, "max-running": &row.MaxRunning, "max-rate": &row.MaxRate}
--- a/io/cmds/sheet.go
+++ b/io/cmds/sheet.go
@@ -103,6 +103,8 @@
 		row.Version = ident.Version(text)
 	case "previous":
 		row.Previous = ident.Version(text)
+	case "base":
+		row.Base = ident.Service(text)
 	case "weight":
 		return setNumber(&row.Weight, name, text)
 	case "max-running":
--- a/io/cmds/table.go
+++ b/io/cmds/table.go
@@ -27,7 +27,7 @@
 }
 
 // columns are the names of a row's fields, in the order of all tables and CSV files.
-var columns = []string{"workspace", "adapter", "version", "previous", "weight", "max-running", "max-rate", "row-version"}
+var columns = []string{"workspace", "adapter", "version", "previous", "base", "weight", "max-running", "max-rate", "row-version"}
 
 // cells returns a row's fields as text; a row that does not exist has empty cells.
 func cells(r *rows.Row) []string {
@@ -36,8 +36,8 @@
 	}
 	number := func(n uint32) string { return strconv.FormatUint(uint64(n), 10) }
 	return []string{
-		string(r.Workspace), string(r.Adapter), string(r.Version), string(r.Previous), number(r.Weight), number(r.MaxRunning),
-		number(r.MaxRate), strconv.FormatUint(uint64(r.RowVersion), 10),
+		string(r.Workspace), string(r.Adapter), string(r.Version), string(r.Previous), string(r.Base), number(r.Weight),
+		number(r.MaxRunning), number(r.MaxRate), strconv.FormatUint(uint64(r.RowVersion), 10),
 	}
 }
 
@@ -129,6 +129,7 @@
 	Workspace  ident.Workspace `arg:"" help:"Workspace of the row."`
 	Model      string          `arg:"" help:"adapter@version."`
 	Previous   *ident.Version  `help:"Version that stays callable while callers move on; empty for none."`
+	Base       *ident.Service  `help:"Base model of the adapter; empty where all engines run the same one."`
 	Weight     *uint32         `help:"Share against other workspaces; 1 in a new row."`
 	MaxRunning *uint32         `help:"Requests running at once; 0 for no limit."`
 	MaxRate    *uint32         `help:"Requests a second; 0 for no limit."`
@@ -154,6 +155,7 @@
 	row.Workspace, row.Adapter, row.Version = c.Workspace, m.Adapter, m.Version
 	row.Weight = max(row.Weight, 1)
 	set(&row.Previous, c.Previous)
+	set(&row.Base, c.Base)
 	set(&row.Weight, c.Weight)
 	set(&row.MaxRunning, c.MaxRunning)
 	set(&row.MaxRate, c.MaxRate)
@@ -216,10 +218,11 @@
 	short := struct {
 		Version    ident.Version `json:"version"`
 		Previous   ident.Version `json:"previous,omitempty"`
+		Base       ident.Service `json:"base,omitempty"`
 		Weight     uint32        `json:"weight"`
 		MaxRunning uint32        `json:"max-running,omitempty"`
 		MaxRate    uint32        `json:"max-rate,omitempty"`
-	}{r.Version, r.Previous, r.Weight, r.MaxRunning, r.MaxRate}
+	}{r.Version, r.Previous, r.Base, r.Weight, r.MaxRunning, r.MaxRate}
 	data, _ := json.Marshal(short)
 	return string(data)
 }
