Time with real requests how long a killed owner's service is away

Cause: "owned again" was a decision in virtual time; no request had been timed. Ruled out: timing it in a test (a timed verdict depends on the machine). Change: fakes takeover kills the owner again and again and calls through another host until it is served; the commands of fakes/loads share their deployment.

--- a/fakes/loads/path.go
+++ b/fakes/loads/path.go
@@ -29,17 +29,12 @@
 
 // Run starts three hosts, a plain service and a client in one process and prints one line for each way and kind.
 func (c *Path) Run() error {
-	folder, err := os.MkdirTemp("", "path")
+	f, end, err := deploy(3)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	f, err := fleet.New(fleet.Config{Hosts: 3, Disks: 3, Domains: 3, Folder: folder, Params: world.Defaults(), Seed: 1})
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	service := f.AddPlain(stand.PlainConfig{ID: "p1", Service: "payments", Domain: "a"})
+	defer end()
+	service := f.Plains[0]
 	owner, other := "", ""
 	found := func() bool {
 		owner, other = hosts(f)
@@ -55,6 +50,23 @@
 	})
 }
 
+// deploy starts hosts, three of them voters, with one plain service; end stops them and removes their data.
+func deploy(hosts int) (f *fleet.Fleet, end func(), err error) {
+	folder, err := os.MkdirTemp("", "loads")
+	if err != nil {
+		return nil, nil, err
+	}
+	f, err = fleet.New(fleet.Config{Hosts: hosts, Disks: 3, Domains: 3, Folder: folder, Params: world.Defaults(), Seed: 1})
+	if err != nil {
+		return nil, nil, err
+	}
+	f.AddPlain(stand.PlainConfig{ID: "p1", Service: "payments", Domain: "a"})
+	return f, func() {
+		f.Close()
+		_ = os.RemoveAll(folder)
+	}, nil
+}
+
 // hosts returns the addresses of the host that owns the endpoint and of another one.
 func hosts(f *fleet.Fleet) (owner, other string) {
 	for _, h := range f.Hosts {
--- a/fakes/main.go
+++ b/fakes/main.go
@@ -21,13 +21,14 @@
 const headerTimeout = 5 * time.Second
 
 type cli struct {
-	Engine engine        `cmd:"" help:"Run a model engine."`
-	Plain  plain         `cmd:"" help:"Run a plain service."`
-	Store  store         `cmd:"" help:"Run the weight store."`
-	Probe  probe.Command `cmd:"" help:"Measure failure detection, elections, take-overs, edits, starts and idle hosts."`
-	Path   loads.Path    `cmd:"" help:"Measure the added time of the path, side by side with direct requests."`
-	Rate   loads.Rate    `cmd:"" help:"Stream from an entry host and print what its process relays on how much of a core."`
-	Replay replayer      `cmd:"" help:"Replay a trace through the decision core in virtual time and print what it measures."`
+	Engine   engine         `cmd:"" help:"Run a model engine."`
+	Plain    plain          `cmd:"" help:"Run a plain service."`
+	Store    store          `cmd:"" help:"Run the weight store."`
+	Probe    probe.Command  `cmd:"" help:"Measure failure detection, elections, take-overs, edits, starts and idle hosts."`
+	Path     loads.Path     `cmd:"" help:"Measure the added time of the path, side by side with direct requests."`
+	Takeover loads.Takeover `cmd:"" help:"Time the gap after a killed owner, until a request is served again."`
+	Rate     loads.Rate     `cmd:"" help:"Stream from an entry host and print what its process relays on how much of a core."`
+	Replay   replayer       `cmd:"" help:"Replay a trace through the decision core in virtual time and print what it measures."`
 }
 
 func main() {
