Ask an engine that fails its inspection again once a second

Cause: a failed inspection was repeated as fast as its error came; an engine that refuses connections kept its owner busy until it counted as gone, 4 s later. Ruled out: a back-off of its own (inspections are repeated each second anyway until a take-over has settled). Change: the answer with an error is dropped; the periodic inspection asks again. Conclusion: found by reading; no other effect answers itself.

--- /dev/null
+++ b/core/world/inspect_test.go
@@ -0,0 +1,33 @@
+package world_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shallotgap/core/world"
+	"shallotgap/fakes/sizes"
+)
+
+// An engine that answers no inspection is asked again once a second, not as fast as its errors come.
+func TestFailedInspectionsAreSpaced(t *testing.T) {
+	s := sizes.Size{Hosts: 2, Endpoints: 1}
+	d, err := sizes.NewEntry(s, sizes.State(s))
+	assert.NilError(t, err)
+	e, _ := d.World.State().Owners.Get(sizes.Endpoint(0).ID)
+	inspections := 0
+	d.Seen = func(x world.Effect) {
+		if x.Inspect != nil {
+			inspections++
+		}
+	}
+	const seconds = 3
+	for range seconds {
+		for range 50 {
+			d.Handle(world.Event{Inspected: &world.Inspected{Endpoint: e.ID, Fence: e.Fence, Err: "connection refused"}})
+		}
+		d.Second(s, 20*time.Millisecond)
+	}
+	assert.Assert(t, inspections >= seconds-1 && inspections <= seconds+1, "%d inspections in %d s", inspections, seconds)
+}
--- a/core/world/own.go
+++ b/core/world/own.go
@@ -62,11 +62,8 @@
 
 func (w *World) inspected(in Inspected) {
 	site := w.sites[in.Endpoint]
-	if site == nil || site.Fence != in.Fence {
-		return
-	}
-	if in.Err != "" {
-		w.emit(Effect{Inspect: &Inspect{Endpoint: site.Owned}})
+	if site == nil || site.Fence != in.Fence || in.Err != "" {
+		// After an error the engine is asked again by inspectFrozen.
 		return
 	}
 	for _, m := range in.Models {
