Order nothing from an engine before its state was read

Cause: a new owner took an engine as empty until its inspection answered, and could ask for a load and start it: at an engine that ignores fencing numbers its first order would not rest on the real state, as the design demands. Ruled out: waiting with requests too (they wait for their adapter anyway; resident ones are known only then). Before: TestNoLoadBeforeTheFirstInspection/before: 1 wish instead of 0. Conclusion: found by reading the take-over against docs/DESIGN.md.

--- a/core/place/evict.go
+++ b/core/place/evict.go
@@ -12,7 +12,7 @@
 // Wants returns the wishes for the adapters that queued requests wait for and that are neither resident nor loading,
 // in the order in which their first requests go.
 func (s *Site) Wants(now ident.Time) []Want {
-	if s.Kind != lease.Engine {
+	if s.Kind != lease.Engine || !s.Known {
 		return nil
 	}
 	var list []Want
--- /dev/null
+++ b/core/world/firstorder_test.go
@@ -0,0 +1,46 @@
+package world_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shallotgap/core/ident"
+	"shallotgap/core/place"
+	"shallotgap/core/work"
+	"shallotgap/core/world"
+	"shallotgap/fakes/sizes"
+)
+
+// A new owner asks for no load before it has read what the engine holds: its first order must rest on the real state.
+func TestNoLoadBeforeTheFirstInspection(t *testing.T) {
+	cases := map[string]struct {
+		inspected bool
+		want      int
+	}{
+		"before": {inspected: false, want: 0},
+		"after":  {inspected: true, want: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := sizes.Size{Hosts: 2, Endpoints: 1, Adapters: 1}
+			d, err := sizes.NewEntry(s, sizes.State(s))
+			assert.NilError(t, err)
+			e, _ := d.World.State().Owners.Get(sizes.Endpoint(0).ID)
+			if c.inspected {
+				d.Handle(world.Event{Inspected: &world.Inspected{Endpoint: e.ID, Fence: e.Fence, Instance: e.Instance}})
+			}
+			var wants []place.Want
+			d.Seen = func(x world.Effect) {
+				if x.Send != nil && x.Send.Message.Wants != nil {
+					wants = x.Send.Message.Wants.List
+				}
+			}
+			r := work.Request{ID: ident.RequestID{Host: "e0", Seq: 1}, Workspace: sizes.Workspace(0), Model: sizes.Model(0), Left: time.Minute, Urgency: work.Normal}
+			d.Handle(world.Event{Arrive: &world.Arrive{Request: r, From: "e0"}})
+			d.Second(s, 20*time.Millisecond)
+			assert.Equal(t, len(wants), c.want)
+		})
+	}
+}
