--- a/fakes/replay/base.go
+++ b/fakes/replay/baseline.go
@@ -10,7 +10,7 @@
 // baseline is the policy to compare with: least-loaded routing with exact loads, least-recently-used eviction, and
 // loads granted in order of arrival. It decides in one place without any delay.
 type baseline struct {
-	*lab
+	*harness
 	sites  []*baseSite
 	order  []baseWant
 	tokens float64
--- a/fakes/replay/engine.go
+++ b/fakes/replay/engine.go
@@ -27,7 +27,7 @@
 
 // engine batches continuously in virtual time: in each step every running request gets one token.
 type engine struct {
-	*lab
+	*harness
 	name     ident.EndpointID
 	instance ident.Incarnation
 	held     map[ident.Model]time.Duration // since when
@@ -40,8 +40,8 @@
 	evictedUsed int
 }
 
-func newEngine(l *lab, name ident.EndpointID) *engine {
-	return &engine{lab: l, name: name, instance: 1, held: map[ident.Model]time.Duration{}, loading: map[ident.Model]bool{}}
+func newEngine(l *harness, name ident.EndpointID) *engine {
+	return &engine{harness: l, name: name, instance: 1, held: map[ident.Model]time.Duration{}, loading: map[ident.Model]bool{}}
 }
 
 // count brings the integrals up to now; only the trace's window counts.
@@ -131,7 +131,7 @@
 
 // store is the weight store in virtual time.
 type store struct {
-	*lab
+	*harness
 	rand   *rand.Rand
 	flying int
 	tokens float64
--- a/fakes/replay/lab.go
+++ b/fakes/replay/harness.go
@@ -15,8 +15,8 @@
 // cooldown is the longest time after the trace in which the rest may end.
 const cooldown = 11 * time.Minute
 
-// lab is the virtual clock with the stand-ins and the score of one run.
-type lab struct {
+// harness is the virtual clock with the stand-ins and the score of one run.
+type harness struct {
 	Profile
 	now     time.Duration
 	queue   timers
@@ -34,9 +34,9 @@
 	restarted(e *engine)
 }
 
-func newLab(p Profile, seed uint64) *lab {
-	l := &lab{Profile: p}
-	l.store = &store{lab: l, rand: rand.New(rand.NewPCG(seed, 7)), tokens: 1}
+func newHarness(p Profile, seed uint64) *harness {
+	l := &harness{Profile: p}
+	l.store = &store{harness: l, rand: rand.New(rand.NewPCG(seed, 7)), tokens: 1}
 	for n := range p.Engines {
 		l.engines = append(l.engines, newEngine(l, ident.EndpointID(fmt.Sprintf("e%02d", n+1))))
 	}
@@ -45,13 +45,13 @@
 }
 
 // after calls f once the virtual clock has moved by d.
-func (l *lab) after(d time.Duration, f func()) {
+func (l *harness) after(d time.Duration, f func()) {
 	l.seq++
 	heap.Push(&l.queue, timer{at: l.now + d, seq: l.seq, call: f})
 }
 
 // run replays the trace against p until all requests have ended.
-func (l *lab) run(p policy, trace []Arrival) Result {
+func (l *harness) run(p policy, trace []Arrival) Result {
 	p.prepare()
 	for _, a := range trace {
 		l.after(warmUp+a.At, func() { p.arrive(a, l.score.open(a)) })
@@ -71,7 +71,7 @@
 	return l.score.result()
 }
 
-func (l *lab) planRestarts(p policy) {
+func (l *harness) planRestarts(p policy) {
 	for n := range l.Restarts {
 		e := l.engines[n]
 		l.after(warmUp+l.Length*time.Duration(n+1)/time.Duration(l.Restarts+1), func() {
--- a/fakes/replay/report.go
+++ b/fakes/replay/report.go
@@ -18,15 +18,15 @@
 
 // Baseline replays the trace through least-loaded routing, LRU eviction and loads in order of arrival.
 func Baseline(p Profile, seed uint64, trace []Arrival) Result {
-	l := newLab(p, seed)
-	r := l.run(&baseline{lab: l}, trace)
+	l := newHarness(p, seed)
+	r := l.run(&baseline{harness: l}, trace)
 	r.Policy = "baseline"
 	return r
 }
 
 // System replays the trace through the decision cores of all hosts.
 func System(p Profile, params world.Params, seed uint64, trace []Arrival) Result {
-	l := newLab(p, seed)
+	l := newHarness(p, seed)
 	r := l.run(newSystem(l, params, seed), trace)
 	r.Policy = "system"
 	return r
--- a/fakes/replay/score.go
+++ b/fakes/replay/score.go
@@ -39,7 +39,7 @@
 
 // score collects the ends of requests.
 type score struct {
-	*lab
+	*harness
 	stalls   []time.Duration
 	bulk     []time.Duration
 	served   map[ident.Workspace]float64
@@ -58,8 +58,8 @@
 	closed  bool
 }
 
-func newScore(l *lab) *score {
-	return &score{lab: l, served: map[ident.Workspace]float64{}, demand: map[ident.Workspace]float64{}}
+func newScore(l *harness) *score {
+	return &score{harness: l, served: map[ident.Workspace]float64{}, demand: map[ident.Workspace]float64{}}
 }
 
 func (s *score) open(a Arrival) *ending {
--- a/fakes/replay/system.go
+++ b/fakes/replay/system.go
@@ -27,7 +27,7 @@
 
 // system runs the real decision cores of all hosts.
 type system struct {
-	*lab
+	*harness
 	params  world.Params
 	seed    uint64
 	hosts   []*node
@@ -46,12 +46,12 @@
 	world *world.World
 }
 
-func newSystem(l *lab, params world.Params, seed uint64) *system {
+func newSystem(l *harness, params world.Params, seed uint64) *system {
 	params.Policy = l.Policy
 	params.StoreRate = l.Rate
 	params.StoreInFlight = l.InFlight
 	s := &system{
-		lab: l, params: params, seed: seed,
+		harness: l, params: params, seed: seed,
 		byName:  map[ident.HostID]*node{},
 		engine:  map[ident.EndpointID]*engine{},
 		calls:   map[ident.RequestID]*ending{},
