--- /dev/null
+++ b/core/census/census.go
@@ -0,0 +1,165 @@
+// Package census keeps what endpoints say of themselves in heartbeats, which may come late, twice or from an earlier start.
+package census
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"shallotgap/core/ident"
+)
+
+// State is what an endpoint may be used for.
+type State uint8
+
+// The states of an endpoint.
+const (
+	Ready    State = iota + 1
+	Draining       // ends what runs and takes nothing new
+	Gone           // has left; kept for a while so that late news does not bring it back
+)
+
+// Entry is what an endpoint last said.
+type Entry struct {
+	Instance ident.Instance `json:"instance"`
+	// Seq rises with each heartbeat of one instance.
+	Seq     uint64         `json:"seq"`
+	Service ident.Service  `json:"service"`
+	Address string         `json:"address"`
+	Domain  ident.DomainID `json:"domain,omitempty"`
+	Slots   int            `json:"slots,omitempty"`
+	State   State          `json:"state"`
+	// Held are the adapters on an engine, with their versions, when the heartbeat was made.
+	Held []Held `json:"held,omitempty"`
+	// Models are the base models on an engine.
+	Models []string `json:"models,omitempty"`
+
+	// Heard is when this host learned of the entry, by its own clock.
+	Heard ident.Time `json:"-"`
+}
+
+// Held is an adapter at one version on an engine.
+type Held struct {
+	Model   string        `json:"model"`
+	Adapter ident.Adapter `json:"adapter"`
+	Version uint64        `json:"version"`
+}
+
+// Census is the table of endpoints.
+type Census struct {
+	entries map[ident.EndpointID]Entry
+	// Forget is how long an endpoint is remembered after its last news.
+	Forget time.Duration
+}
+
+// New returns an empty table.
+func New(forget time.Duration) *Census {
+	return &Census{entries: map[ident.EndpointID]Entry{}, Forget: forget}
+}
+
+// News tells what an observation changed.
+type News uint8
+
+// The kinds of news.
+const (
+	Stale   News = iota // older than what is known; nothing changed
+	Alive               // a later heartbeat that says the same
+	Changed             // state, address or start differ
+)
+
+// Observe takes what an endpoint said.
+func (c *Census) Observe(e Entry, now ident.Time) News {
+	e.Heard = now
+	old, known := c.entries[e.Instance.ID]
+	if known && stale(e, old) {
+		return Stale
+	}
+	if c.outlived(e) {
+		return Stale
+	}
+	if known && old.Instance == e.Instance && old.State > e.State {
+		// An endpoint that drains or left does not come back under the same start.
+		return Stale
+	}
+	c.entries[e.Instance.ID] = e
+	if e.State != Gone {
+		c.evict(e)
+	}
+	if known && same(old, e) {
+		return Alive
+	}
+	return Changed
+}
+
+// stale reports whether e is not news after old.
+func stale(e, old Entry) bool {
+	if e.Instance.Born != old.Instance.Born {
+		return e.Instance.Born < old.Instance.Born
+	}
+	return e.Seq <= old.Seq && e.State <= old.State
+}
+
+// outlived reports whether a later start of another endpoint has the address of e.
+func (c *Census) outlived(e Entry) bool {
+	for _, other := range c.entries {
+		if other.Address == e.Address && other.Instance.ID != e.Instance.ID && other.State != Gone && other.Instance.Born > e.Instance.Born {
+			return true
+		}
+	}
+	return false
+}
+
+// evict marks earlier endpoints at the address of e as gone.
+func (c *Census) evict(e Entry) {
+	for id, other := range c.entries {
+		if id != e.Instance.ID && other.Address == e.Address && other.State != Gone {
+			other.State = Gone
+			c.entries[id] = other
+		}
+	}
+}
+
+func same(a, b Entry) bool {
+	return a.Instance == b.Instance && a.State == b.State && a.Address == b.Address && a.Service == b.Service && a.Slots == b.Slots
+}
+
+// Leave marks an endpoint as gone and returns its entry; false when it was not known or had left.
+func (c *Census) Leave(id ident.EndpointID, born ident.Incarnation, now ident.Time) (Entry, bool) {
+	e, known := c.entries[id]
+	if !known || (born != 0 && born != e.Instance.Born) || e.State == Gone {
+		return e, false
+	}
+	e.State, e.Heard = Gone, now
+	c.entries[id] = e
+	return e, true
+}
+
+// Get returns an entry.
+func (c *Census) Get(id ident.EndpointID) (Entry, bool) {
+	e, ok := c.entries[id]
+	return e, ok
+}
+
+// List returns all entries in order of their ids.
+func (c *Census) List() []Entry {
+	list := make([]Entry, 0, len(c.entries))
+	for _, id := range slices.Sorted(maps.Keys(c.entries)) {
+		list = append(list, c.entries[id])
+	}
+	return list
+}
+
+// Of returns the entries of a service that are not gone, in order of their ids.
+func (c *Census) Of(s ident.Service) []Entry {
+	list := c.List()
+	return slices.DeleteFunc(list, func(e Entry) bool { return e.Service != s || e.State == Gone })
+}
+
+// Expire forgets the endpoints without news.
+func (c *Census) Expire(now ident.Time) {
+	for id, e := range c.entries {
+		if now.Sub(e.Heard) > c.Forget {
+			delete(c.entries, id)
+		}
+	}
+}
--- /dev/null
+++ b/core/grant/authority.go
@@ -0,0 +1,291 @@
+package grant
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"shallotgap/core/book"
+	"shallotgap/core/census"
+	"shallotgap/core/ident"
+	"shallotgap/core/layout"
+)
+
+// Authority decides for all engines. It is only used by the host that leads.
+type Authority struct {
+	Params
+	began   ident.Time
+	layout  *layout.Layout
+	newest  map[book.AdapterRef]book.Weights
+	engines map[ident.EndpointID]*engine
+	waiting map[ID]*waiter
+	placed  map[ID]ident.EndpointID
+	budgets map[ident.Service]*Budget
+	out     Effects
+	// superseded is set when an engine knows a later holder; nothing is ordered after that.
+	superseded bool
+}
+
+// waiter is an ask without a place.
+type waiter struct {
+	ask    Ask
+	keys   []uint64
+	since  ident.Time
+	giveUp ident.Time // when the caller stops waiting
+	// preparing is the engine at which room is being made for the adapter.
+	preparing ident.EndpointID
+}
+
+// New returns an authority that knows nothing yet.
+func New(p Params, now ident.Time) *Authority {
+	return &Authority{
+		Params: p, began: now, newest: map[book.AdapterRef]book.Weights{}, engines: map[ident.EndpointID]*engine{},
+		waiting: map[ID]*waiter{}, placed: map[ID]ident.EndpointID{}, budgets: map[ident.Service]*Budget{},
+	}
+}
+
+// SetLayout takes the layout in force.
+func (t *Authority) SetLayout(l *layout.Layout) { t.layout = l }
+
+// SetNewest takes the newest version of an adapter.
+func (t *Authority) SetNewest(n book.Newest) { t.newest[n.Of] = n.Version }
+
+// Observe takes news of an endpoint.
+func (t *Authority) Observe(e census.Entry, now ident.Time) {
+	if t.layout == nil {
+		return
+	}
+	if s, ok := t.layout.Service(e.Service); !ok || s.Engine == nil {
+		return
+	}
+	old := t.engines[e.Instance.ID]
+	switch {
+	case old == nil || old.entry.Instance != e.Instance:
+		if e.State == census.Gone {
+			return
+		}
+		t.engines[e.Instance.ID] = newEngine(e, t.Remembered)
+	case e.State == census.Gone && len(old.running) == 0:
+		delete(t.engines, e.Instance.ID)
+	default:
+		models := old.entry.Models
+		old.entry = e
+		if len(e.Models) == 0 {
+			old.entry.Models = models
+		}
+		if e.State == census.Ready {
+			old.compare(e.Held, now, t.Params)
+		}
+	}
+}
+
+// Ask takes a request for a place. An ask that is known already changes nothing, so it may be sent again.
+func (t *Authority) Ask(a Ask, now ident.Time) {
+	if _, known := t.waiting[a.ID]; known {
+		return
+	}
+	if at, known := t.placed[a.ID]; known {
+		if e := t.engines[at]; e != nil {
+			t.reply(a, Reply{ID: a.ID, Place: t.place(e, a)})
+		}
+		return
+	}
+	b := t.budgetOf(a.Service)
+	if a.Sends == 0 {
+		b.Asked(now)
+	} else if !b.Spend(now) {
+		t.refuse(a, BudgetSpent, a.Left/8)
+		return
+	}
+	t.waiting[a.ID] = &waiter{ask: a, keys: chain(a), since: now, giveUp: now.Add(a.Left)}
+}
+
+func (t *Authority) budgetOf(s ident.Service) *Budget {
+	b := t.budgets[s]
+	if b == nil {
+		b = NewBudget(t.RetryRatio, t.RetryExtra, t.RetryWindow)
+		t.budgets[s] = b
+	}
+	return b
+}
+
+// Resume takes a place that an entry host uses since before this authority began.
+func (t *Authority) Resume(l Live, now ident.Time) {
+	e := t.engines[l.Instance.ID]
+	if e == nil || e.entry.Instance != l.Instance || e.running[l.Ask.ID] != nil {
+		return
+	}
+	e.start(l.Ask, 0, now, 0)
+	t.placed[l.Ask.ID] = l.Instance.ID
+	delete(t.waiting, l.Ask.ID)
+}
+
+// Withdraw forgets an ask whose caller left.
+func (t *Authority) Withdraw(id ID) { delete(t.waiting, id) }
+
+// End frees a place.
+func (t *Authority) End(end End, now ident.Time) {
+	delete(t.waiting, end.ID)
+	e := t.engines[t.placed[end.ID]]
+	delete(t.placed, end.ID)
+	if e == nil {
+		return
+	}
+	r, ok := e.end(end.ID)
+	if !ok {
+		return
+	}
+	switch end.Outcome {
+	case Served:
+		e.trouble.note(false, now)
+		e.trouble.down = false
+	case Failed:
+		e.trouble.note(true, now)
+	case Unreachable:
+		e.trouble.note(true, now)
+		e.trouble.unreachable(now)
+	case NotRun:
+		t.missed(e, r, now)
+	}
+}
+
+// missed handles a request that the engine did not run: most often its adapter was not there yet.
+func (t *Authority) missed(e *engine, r *run, now ident.Time) {
+	s := e.slots[r.ask.Ref]
+	if s == nil || now.Sub(s.loadedAt) > t.BeatLag {
+		e.trouble.note(true, now)
+		if s != nil {
+			e.known = false
+		}
+		return
+	}
+	s.misses++
+	s.readyAt = now.Add(missPause)
+	if s.stored && s.misses == 1 {
+		t.AdapterLoad = min(time.Duration(float64(t.AdapterLoad)*loadRaise), maxAdapterLoad)
+	}
+	if s.misses >= maxMisses {
+		s.misses = 0
+		e.known, e.reportAt = false, now
+	}
+}
+
+// Constants of learning the time of loads.
+const (
+	missPause      = 40 * time.Millisecond // a tenth of a load from the store is 25 to 30 ms
+	maxMisses      = 3                     // then the engine is asked what it holds
+	loadRaise      = 1.1
+	loadLower      = 0.995
+	maxAdapterLoad = 2 * time.Second
+	minAdapterLoad = 50 * time.Millisecond
+)
+
+func (t *Authority) place(e *engine, a Ask) *Place {
+	p := &Place{Instance: e.entry.Instance, Address: e.entry.Address}
+	if a.Ref.Adapter != "" {
+		p.Version = t.versionOn(e, a.Ref)
+	}
+	return p
+}
+
+// versionOn returns the version that a request must be run with: the newest announced one, else the one held.
+func (t *Authority) versionOn(e *engine, ref book.AdapterRef) book.Weights {
+	if v := t.newest[ref]; v != 0 {
+		return v
+	}
+	if s := e.slots[ref]; s != nil {
+		return s.version
+	}
+	return 0
+}
+
+func (t *Authority) reply(a Ask, r Reply) {
+	t.out.Replies = append(t.out.Replies, Routed{Host: a.Host, Reply: r})
+}
+
+func (t *Authority) refuse(a Ask, c Cause, after time.Duration) {
+	t.reply(a, Reply{ID: a.ID, Cause: c, After: after})
+	t.note("refuse", a, "", string(c), fmt.Sprintf("left=%dms sends=%d waiting=%d", a.Left.Milliseconds(), a.Sends, len(t.waiting)))
+}
+
+func (t *Authority) note(step string, a Ask, at ident.EndpointID, outcome, inputs string) {
+	t.out.Notes = append(t.out.Notes, Note{Step: step, Request: a.Request, Endpoint: at, Outcome: outcome, Inputs: inputs})
+}
+
+// Step decides on all that waits and returns what is to be done.
+func (t *Authority) Step(now ident.Time) Effects {
+	t.expire(now)
+	t.askReports(now)
+	t.followVersions(now)
+	for _, w := range t.queue(now) {
+		t.serve(w, now)
+	}
+	out := t.out
+	t.out = Effects{}
+	return out
+}
+
+// queue returns the waiting asks, the most urgent first. A request gains a class of urgency for each ageing step, so
+// that less urgent ones are not starved.
+func (t *Authority) queue(now ident.Time) []*waiter {
+	list := slices.Collect(maps.Values(t.waiting))
+	rank := func(w *waiter) int { return w.ask.Priority - int(now.Sub(w.since)/ageing) }
+	slices.SortFunc(list, func(a, b *waiter) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.since, b.since), cmp.Compare(a.ask.ID, b.ask.ID))
+	})
+	return list
+}
+
+// ageing is the wait that makes up for one class of urgency: an eighth of the usual target of 1 s, after which waiting
+// begins to cost.
+const ageing = 125 * time.Millisecond
+
+// expire ends runs whose end was lost, and forgets engines that are gone.
+func (t *Authority) expire(now ident.Time) {
+	for id, e := range t.engines {
+		for rid, r := range e.running {
+			if now > r.endBy.Add(endSlack) {
+				e.end(rid)
+				delete(t.placed, rid)
+			}
+		}
+		if now.Sub(e.entry.Heard) > forgetAfter {
+			delete(t.engines, id)
+		}
+		if l, ok := t.layout.Service(e.entry.Service); ok && l.Engine != nil {
+			e.prompts.trim(l.Engine.Memory * 7 / 10) // running requests need the rest
+		}
+	}
+}
+
+// Bounds of what is remembered.
+const (
+	endSlack    = 2 * time.Second // an entry host reports an end within a second of the deadline
+	forgetAfter = 30 * time.Second
+)
+
+// askReports asks the engines whose state is not known.
+func (t *Authority) askReports(now ident.Time) {
+	for _, id := range slices.Sorted(maps.Keys(t.engines)) {
+		e := t.engines[id]
+		if e.known || e.ordering || !e.usable(now, t.Params) || now < e.reportAt || now.Sub(e.askedAt) < reportEvery {
+			continue
+		}
+		e.askedAt = now
+		t.out.Reports = append(t.out.Reports, Target{Instance: e.entry.Instance, Address: e.entry.Address})
+	}
+}
+
+// reportEvery is the pause between two questions to one engine; its answers are some hundred ms old.
+const reportEvery = 400 * time.Millisecond
+
+// Reported takes an engine's report; it is ignored when an order was given meanwhile.
+func (t *Authority) Reported(i ident.Instance, r Report, now ident.Time) {
+	e := t.engines[i.ID]
+	if e == nil || e.entry.Instance != i || e.ordering || e.orderAt > e.askedAt {
+		return
+	}
+	e.learn(r, now, t.Params)
+}
--- /dev/null
+++ b/core/grant/engine.go
@@ -0,0 +1,179 @@
+package grant
+
+import (
+	"time"
+
+	"shallotgap/core/book"
+	"shallotgap/core/census"
+	"shallotgap/core/ident"
+)
+
+// engine is what the authority knows of one engine.
+type engine struct {
+	entry census.Entry
+	// known is false until the engine's own report was read under this authority, and again after an order whose
+	// result is not clear.
+	known    bool
+	askedAt  ident.Time // when its report was last asked for
+	reportAt ident.Time // not before this
+	ordering bool       // an order is under way
+	orders   uint64     // accepted by the engine so far
+	orderAt  ident.Time // when the last order was answered
+	slots    map[book.AdapterRef]*slot
+	dropped  *recent // adapters that it held before and loads faster
+	prompts  *prompts
+	running  map[ID]*run
+	tokens   ident.Tokens // memory that running requests need
+	// readUntil is when the prompts that were sent are expected to be read.
+	readUntil ident.Time
+	trouble   trouble
+}
+
+// slot is a place for an adapter on an engine.
+type slot struct {
+	version  book.Weights
+	readyAt  ident.Time // when a load under way is expected to be complete
+	leaving  bool
+	pins     int
+	usedAt   ident.Time
+	uses     float64 // decayed count of requests
+	stored   bool    // the load under way comes from the store
+	misses   int     // refusals since the load should have been complete
+	loadedAt ident.Time
+}
+
+// run is a request on an engine.
+type run struct {
+	ask     Ask
+	endBy   ident.Time
+	version book.Weights
+}
+
+func newEngine(e census.Entry, remembered int) *engine {
+	return &engine{entry: e, slots: map[book.AdapterRef]*slot{}, dropped: newRecent(remembered), prompts: newPrompts(), running: map[ID]*run{}}
+}
+
+// usable reports whether new requests may be sent to the engine.
+func (e *engine) usable(now ident.Time, p Params) bool {
+	return e.entry.State == census.Ready && now.Sub(e.entry.Heard) < p.Silence
+}
+
+func (e *engine) holdsModel(model string) bool {
+	for _, m := range e.entry.Models {
+		if m == model {
+			return true
+		}
+	}
+	return false
+}
+
+// learn takes an engine's own report.
+func (e *engine) learn(r Report, now ident.Time, p Params) {
+	e.orders = r.Orders
+	e.known = true
+	e.entry.Models = r.Models
+	seen := map[book.AdapterRef]bool{}
+	for _, h := range r.Held {
+		s := e.slots[h.Ref]
+		if s == nil {
+			s = &slot{usedAt: now, readyAt: now}
+			e.slots[h.Ref] = s
+		}
+		if h.Coming {
+			s.readyAt = max(s.readyAt, now.Add(p.AdapterLoad/2))
+		}
+		// A replacement under way is listed beside what it replaces.
+		if !seen[h.Ref] || h.Coming {
+			s.version = h.Version
+		}
+		s.leaving = false
+		seen[h.Ref] = true
+	}
+	for ref, s := range e.slots {
+		if !seen[ref] && s.pins == 0 {
+			delete(e.slots, ref)
+		}
+	}
+}
+
+// compare drops the adapters that a heartbeat, made well after the last order, does not list.
+func (e *engine) compare(held []census.Held, now ident.Time, p Params) {
+	if !e.known || e.ordering || now.Sub(e.orderAt) < p.BeatLag {
+		return
+	}
+	listed := map[book.AdapterRef]book.Weights{}
+	for _, h := range held {
+		listed[book.AdapterRef{Model: h.Model, Adapter: h.Adapter}] = book.Weights(h.Version)
+	}
+	for ref, s := range e.slots {
+		if now.Sub(s.readyAt) < p.BeatLag {
+			continue
+		}
+		version, ok := listed[ref]
+		if !ok || (version != s.version && s.version != 0) {
+			// What the engine holds differs from what its orders should have led to.
+			e.known = false
+			return
+		}
+		s.version = version
+	}
+	for ref := range listed {
+		if e.slots[ref] == nil {
+			e.known = false
+		}
+	}
+}
+
+// free returns how many adapters can be loaded without dropping one.
+func (e *engine) free(limit int) int { return limit - len(e.slots) }
+
+func (e *engine) transit(now ident.Time) (all, stored int) {
+	for _, s := range e.slots {
+		if s.readyAt > now {
+			all++
+			if s.stored {
+				stored++
+			}
+		}
+	}
+	return all, stored
+}
+
+// start puts a request on the engine.
+func (e *engine) start(a Ask, v book.Weights, now ident.Time, read time.Duration) {
+	e.running[a.ID] = &run{ask: a, endBy: now.Add(a.Left), version: v}
+	e.tokens += a.Prompt + a.Output
+	e.readUntil = max(e.readUntil, now).Add(read)
+	e.prompts.add(a, now)
+	if s := e.slots[a.Ref]; s != nil && a.Ref.Adapter != "" {
+		s.pins++
+		s.use(now)
+	}
+}
+
+// end takes a request off the engine.
+func (e *engine) end(id ID) (*run, bool) {
+	r, ok := e.running[id]
+	if !ok {
+		return nil, false
+	}
+	delete(e.running, id)
+	e.tokens -= r.ask.Prompt + r.ask.Output
+	if s := e.slots[r.ask.Ref]; s != nil && s.pins > 0 {
+		s.pins--
+	}
+	return r, true
+}
+
+// useHalfLife is the half-life of the count of an adapter's requests; the product's own residency uses the same.
+const useHalfLife = 20 * time.Second
+
+func (s *slot) use(now ident.Time) {
+	s.uses = s.weight(now) + 1
+	s.usedAt = now
+}
+
+// weight returns the decayed count of requests.
+func (s *slot) weight(now ident.Time) float64 {
+	return s.uses * halve(now.Sub(s.usedAt), useHalfLife)
+}
--- /dev/null
+++ b/core/grant/orders.go
@@ -0,0 +1,134 @@
+package grant
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"shallotgap/core/book"
+	"shallotgap/core/ident"
+)
+
+// load orders an adapter for a waiting request; when no place is free, one is emptied first.
+func (t *Authority) load(o option, w *waiter, now ident.Time) {
+	w.preparing = o.engine.entry.Instance.ID
+	if o.evict.Adapter != "" {
+		t.order(o.engine, Order{Ref: o.evict, Cause: "room for " + string(w.ask.Ref.Adapter)}, now)
+		return
+	}
+	v := t.newest[w.ask.Ref]
+	o.engine.slots[w.ask.Ref] = &slot{version: v, readyAt: now.Add(o.wait), stored: o.stored, usedAt: now, loadedAt: now}
+	t.order(o.engine, Order{Load: true, Ref: w.ask.Ref, Version: v, Cause: "request " + w.ask.Request}, now)
+}
+
+func (t *Authority) order(e *engine, o Order, now ident.Time) {
+	o.Instance, o.Address, o.Expect = e.entry.Instance, e.entry.Address, e.orders
+	e.ordering = true
+	if s := e.slots[o.Ref]; s != nil && !o.Load {
+		s.leaving = true
+	}
+	t.out.Orders = append(t.out.Orders, o)
+	verb := "unload"
+	if o.Load {
+		verb = "load"
+	}
+	t.out.Notes = append(t.out.Notes, Note{Step: verb, Endpoint: e.entry.Instance.ID, Outcome: "ordered", Inputs: fmt.Sprintf("adapter=%s version=%d expect=%d slots=%d cause=%q", o.Ref.Adapter, o.Version, o.Expect, len(e.slots), o.Cause)})
+}
+
+// Ordered takes the result of an order.
+func (t *Authority) Ordered(o Order, r Result, now ident.Time) {
+	e := t.engines[o.Instance.ID]
+	if e == nil || e.entry.Instance != o.Instance {
+		return
+	}
+	e.ordering, e.orderAt = false, now
+	s := e.slots[o.Ref]
+	switch {
+	case r == Superseded:
+		t.superseded = true
+	case r == Conflict || r == Unknown || r == Misplaced:
+		e.known = false
+		e.reportAt = now.Add(t.reportLag())
+		if s != nil && o.Load && r != Unknown {
+			delete(e.slots, o.Ref)
+		}
+	case o.Load:
+		e.orders++
+		if s != nil {
+			s.loadedAt = now
+		}
+	default:
+		e.orders++
+		if s != nil && r == Holds {
+			delete(e.slots, o.Ref)
+			e.dropped.add(o.Ref)
+		}
+	}
+	if r == Accepted && !o.Load {
+		// The engine waits for runs of the adapter; its report tells when it is dropped.
+		e.known = false
+		e.reportAt = now.Add(t.reportLag())
+	}
+	t.out.Notes = append(t.out.Notes, Note{Step: "ordered", Endpoint: o.Instance.ID, Outcome: r.String(), Inputs: fmt.Sprintf("adapter=%s load=%t expect=%d", o.Ref.Adapter, o.Load, o.Expect)})
+}
+
+// reportLag is the age that an engine's report may have.
+func (t *Authority) reportLag() time.Duration { return reportAge }
+
+// reportAge: reports show the state of some hundred ms earlier.
+const reportAge = 300 * time.Millisecond
+
+// String returns the name of a result for logs.
+func (r Result) String() string {
+	names := [...]string{Accepted: "accepted", Holds: "holds", Conflict: "conflict", Superseded: "superseded", Misplaced: "misplaced", Unknown: "unknown"}
+	if int(r) < len(names) {
+		return names[r]
+	}
+	return "invalid"
+}
+
+// followVersions replaces the adapters on engines of which a newer version was announced.
+func (t *Authority) followVersions(now ident.Time) {
+	for _, id := range slices.Sorted(maps.Keys(t.engines)) {
+		e := t.engines[id]
+		if !e.known || e.ordering || t.superseded || !e.usable(now, t.Params) {
+			continue
+		}
+		if ref, ok := t.outdated(e, now); ok {
+			v := t.newest[ref]
+			s := e.slots[ref]
+			s.version, s.readyAt, s.stored, s.loadedAt, s.misses = v, now.Add(t.AdapterLoad), true, now, 0
+			t.order(e, Order{Load: true, Ref: ref, Version: v, Cause: "newer version"}, now)
+		}
+	}
+}
+
+// outdated returns an adapter of which the engine holds an older version and that no request uses: a replacement waits
+// for those, and refuses new ones meanwhile.
+func (t *Authority) outdated(e *engine, now ident.Time) (book.AdapterRef, bool) {
+	var found book.AdapterRef
+	for ref, s := range e.slots {
+		if !t.current(ref, s) && !s.leaving && s.pins == 0 && s.readyAt <= now && (found.Adapter == "" || ref.Adapter < found.Adapter) {
+			found = ref
+		}
+	}
+	return found, found.Adapter != ""
+}
+
+// Engines returns how many engines are usable, for the overview.
+func (t *Authority) Engines(now ident.Time) int {
+	n := 0
+	for _, e := range t.engines {
+		if e.usable(now, t.Params) {
+			n++
+		}
+	}
+	return n
+}
+
+// Waiting returns how many requests wait for a place.
+func (t *Authority) Waiting() int { return len(t.waiting) }
+
+// Silent reports whether the authority knows no engine of the id.
+func (t *Authority) Silent(id ident.EndpointID) bool { return t.engines[id] == nil }
--- /dev/null
+++ b/core/grant/serve.go
@@ -0,0 +1,242 @@
+package grant
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"shallotgap/core/book"
+	"shallotgap/core/census"
+	"shallotgap/core/ident"
+	"shallotgap/core/layout"
+)
+
+// option is one engine that a request could go to.
+type option struct {
+	engine *engine
+	// cost is the expected time to the first event, with what the choice costs others.
+	cost time.Duration
+	// wait is how long until the request can be sent.
+	wait time.Duration
+	// read is the time that its prompt needs.
+	read time.Duration
+	// load is true when the adapter must be loaded first; evict names one to drop for it.
+	load   bool
+	evict  book.AdapterRef
+	stored bool
+}
+
+// serve sends a waiting request to the engine that answers it first, orders a load for it, or turns it away.
+//
+// Load: requests for few popular and very many rare adapters, more of them than all engines have places.
+func (t *Authority) serve(w *waiter, now ident.Time) {
+	s, ok := t.layout.Service(w.ask.Service)
+	if !ok || s.Engine == nil {
+		t.drop(w, NoService, retrySoon)
+		return
+	}
+	if w.ask.Prompt+w.ask.Output > s.Engine.Memory {
+		t.drop(w, TooLarge, 0)
+		return
+	}
+	if e := t.engines[w.preparing]; e != nil && e.ordering && now.Sub(w.since) < w.ask.Left/4 {
+		return
+	}
+	best, found := t.best(w, s.Engine, now)
+	left := w.giveUp.Sub(now)
+	switch {
+	case !found:
+		t.waitOrDrop(w, now)
+	case best.wait+best.read > left:
+		t.drop(w, TooLate, best.wait)
+	case best.load:
+		t.load(best, w, now)
+	case best.wait == 0:
+		t.grant(best, w, now)
+	case now.Sub(w.since)+best.wait > time.Duration(t.Patience*float64(w.ask.Left)):
+		t.drop(w, TooLate, best.wait)
+	}
+}
+
+// retrySoon is the pause for callers when the layout or the endpoints are not known yet.
+const retrySoon = 500 * time.Millisecond
+
+// waitOrDrop keeps a request that no engine can take for an eighth of its time; later it is better off elsewhere.
+func (t *Authority) waitOrDrop(w *waiter, now ident.Time) {
+	if now.Sub(w.since) > w.ask.Left/8 {
+		cause := TooLate
+		if !t.anyUsable(w.ask, now) {
+			cause = NoEndpoint
+		}
+		t.drop(w, cause, retrySoon)
+	}
+}
+
+func (t *Authority) anyUsable(a Ask, now ident.Time) bool {
+	for _, e := range t.engines {
+		if e.entry.Service == a.Service && e.usable(now, t.Params) && e.holdsModel(a.Ref.Model) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Authority) drop(w *waiter, c Cause, after time.Duration) {
+	delete(t.waiting, w.ask.ID)
+	t.refuse(w.ask, c, after)
+}
+
+func (t *Authority) grant(o option, w *waiter, now ident.Time) {
+	a := w.ask
+	a.Left = w.giveUp.Sub(now)
+	p := t.place(o.engine, a)
+	o.engine.start(a, p.Version, now, o.read)
+	delete(t.waiting, a.ID)
+	t.placed[a.ID] = o.engine.entry.Instance.ID
+	if s := o.engine.slots[a.Ref]; s != nil && s.stored && s.misses == 0 && now.Sub(s.readyAt) < missPause {
+		t.AdapterLoad = max(time.Duration(float64(t.AdapterLoad)*loadLower), minAdapterLoad)
+	}
+	t.reply(a, Reply{ID: a.ID, Place: p})
+	t.note("grant", a, p.Instance.ID, "granted", fmt.Sprintf("waited=%dms cost=%dms running=%d tokens=%d version=%d adapter=%s", now.Sub(w.since).Milliseconds(), o.cost.Milliseconds(), len(o.engine.running), o.engine.tokens, p.Version, a.Ref.Adapter))
+}
+
+// best returns the engine with the lowest cost.
+func (t *Authority) best(w *waiter, engine *layout.Engine, now ident.Time) (option, bool) {
+	var best option
+	found := false
+	storeBusy := t.storeBusy(now)
+	for _, id := range slices.Sorted(maps.Keys(t.engines)) {
+		e := t.engines[id]
+		if e.entry.Service != w.ask.Service || !e.usable(now, t.Params) || !e.holdsModel(w.ask.Ref.Model) || slices.Contains(w.ask.Avoid, id) {
+			continue
+		}
+		if e.trouble.avoided(now) {
+			continue
+		}
+		o, ok := t.option(e, w, engine, storeBusy, now)
+		if ok && (!found || o.cost < best.cost) {
+			best, found = o, true
+		}
+	}
+	return best, found
+}
+
+// option returns what sending a request to an engine would mean; false when it can't be sent there now.
+func (t *Authority) option(e *engine, w *waiter, engine *layout.Engine, storeBusy bool, now ident.Time) (option, bool) {
+	a := w.ask
+	if len(e.running) >= engine.Slots || e.tokens+a.Prompt+a.Output > engine.Memory {
+		return option{}, false
+	}
+	o := option{engine: e}
+	unread := max(a.Prompt-e.prompts.cached(a, w.keys), 1)
+	o.read = time.Duration(float64(unread) / t.ReadRate * float64(time.Millisecond))
+	o.cost = o.read + max(0, e.readUntil.Sub(now))
+	o.cost += time.Duration(float64(len(e.running)) / float64(engine.Slots) * float64(batchCost))
+	o.cost += time.Duration(e.trouble.now(now) * float64(troubleCost))
+	if e.entry.Domain != a.Domain {
+		o.cost += t.CrossDomain
+	}
+	if a.Ref.Adapter == "" {
+		return o, true
+	}
+	s := e.slots[a.Ref]
+	if s != nil && !s.leaving && t.current(a.Ref, s) {
+		o.wait = max(0, s.readyAt.Sub(now))
+		o.cost += o.wait
+		return o, true
+	}
+	if s != nil {
+		return option{}, false // it is being replaced or dropped
+	}
+	return t.withLoad(o, e, a, engine, storeBusy, now)
+}
+
+// Costs of a choice.
+const (
+	batchCost   = 200 * time.Millisecond // a full batch slows each token; this is some tokens' worth
+	troubleCost = 3 * time.Second        // what a failure costs the caller: most of a deadline
+	evictCost   = 15 * time.Millisecond  // for each recent use of the adapter that is dropped: a fast load's part
+)
+
+// current reports whether a slot holds the newest version of its adapter.
+func (t *Authority) current(ref book.AdapterRef, s *slot) bool {
+	v := t.newest[ref]
+	return v == 0 || s.version == 0 || s.version >= v
+}
+
+// withLoad adds the cost of loading the adapter first.
+func (t *Authority) withLoad(o option, e *engine, a Ask, engine *layout.Engine, storeBusy bool, now ident.Time) (option, bool) {
+	transit, _ := e.transit(now)
+	if !e.known || e.ordering || transit >= t.InTransit || t.superseded {
+		return option{}, false
+	}
+	o.load = true
+	o.stored = !e.dropped.has(a.Ref)
+	if o.stored && storeBusy {
+		return option{}, false
+	}
+	wait := t.AdapterLoad
+	if !o.stored {
+		wait = time.Duration(float64(wait) * t.FastLoad)
+	} else {
+		o.cost += t.LoadCost
+	}
+	o.wait = wait
+	o.cost += wait
+	if e.free(engine.AdapterSlots) > 0 {
+		return o, true
+	}
+	ref, weight, ok := t.victim(e, now)
+	if !ok {
+		return option{}, false
+	}
+	o.evict = ref
+	o.cost += time.Duration(weight * float64(evictCost))
+	return o, true
+}
+
+// victim returns the adapter to drop: not in use and with the fewest recent requests.
+func (t *Authority) victim(e *engine, now ident.Time) (book.AdapterRef, float64, bool) {
+	var best book.AdapterRef
+	weight, found := 0.0, false
+	if now.Sub(t.began) < t.Settle {
+		return best, 0, false
+	}
+	for ref, s := range e.slots {
+		if s.pins > 0 || s.leaving || s.readyAt > now || t.wanted(ref) {
+			continue
+		}
+		v := s.weight(now)
+		if !found || v < weight || (v == weight && ref.Adapter < best.Adapter) {
+			best, weight, found = ref, v, true
+		}
+	}
+	return best, weight, found
+}
+
+// wanted reports whether a request waits for an adapter.
+func (t *Authority) wanted(ref book.AdapterRef) bool {
+	for _, w := range t.waiting {
+		if w.ask.Ref == ref {
+			return true
+		}
+	}
+	return false
+}
+
+// storeBusy reports whether another load from the store would slow all of them.
+func (t *Authority) storeBusy(now ident.Time) bool {
+	n, ready := 0, 0
+	for _, e := range t.engines {
+		_, stored := e.transit(now)
+		n += stored
+		if e.entry.State == census.Ready {
+			ready++
+		}
+	}
+	return float64(n) >= max(minKnee, t.StoreKnee*float64(ready))
+}
+
+// minKnee is the knee of small deployments.
+const minKnee = 8
--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -113,3 +113,12 @@
 
 // Unwrap returns the cause.
 func (e *StepError) Unwrap() error { return e.Err }
+
+// Tokens counts tokens of prompts, outputs or memory.
+type Tokens int64
+
+// Instance is one start of an endpoint: an id may be used again after a restart, then with a later birth.
+type Instance struct {
+	ID   EndpointID  `json:"id"`
+	Born Incarnation `json:"born,omitempty"`
+}
--- /dev/null
+++ b/io/cmds/platform.go
@@ -0,0 +1,37 @@
+package cmds
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"shallotgap/io/logs"
+	"shallotgap/io/site"
+	"shallotgap/platform"
+)
+
+// Platform is the command that runs one host on the users' platform.
+type Platform struct {
+	LogLevel string `default:"info" enum:"debug,info,warn,error" help:"Lowest level of log lines."`
+	Metrics  string `help:"Port to serve metrics on, below /metrics."`
+}
+
+// Run serves until the process is told to stop and has drained.
+func (p *Platform) Run(env *Env) error {
+	c, err := platform.Settings()
+	if err != nil {
+		return coded(Usage, err)
+	}
+	if p.Metrics != "" {
+		c.Metrics = site.Listen("0.0.0.0:" + p.Metrics)
+	}
+	common, err := logs.New(logs.NewBounded(env.Out), c.Name, p.LogLevel)
+	if err != nil {
+		return coded(Usage, err)
+	}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	return site.Run(context.Background(), common, c, platform.Edge(), site.Signals{Stop: env.Context.Done(), Reload: reload})
+}
--- /dev/null
+++ b/io/link/mesh.go
@@ -0,0 +1,244 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"shallotgap/core/ident"
+	"shallotgap/io/logs"
+)
+
+// Handler takes what arrives. Its methods are called from the links' goroutines.
+type Handler interface {
+	Receive(from Hello, m Message)
+	LinkUp(peer Hello)
+	LinkDown(peer Hello)
+}
+
+// Config is what a mesh is made from.
+type Config struct {
+	Self    Hello
+	Handler Handler
+	// Listener takes links; nil for a host that only dials.
+	Listener net.Listener
+	// Greeting returns the messages that a new link begins with.
+	Greeting func() []Message
+}
+
+// Mesh is this host's links to other hosts.
+type Mesh struct {
+	logs.Common
+	Config
+
+	mu      sync.Mutex
+	links   map[ident.HostID]*conn
+	targets map[ident.HostID]context.CancelFunc
+	ctx     context.Context
+	running sync.WaitGroup
+	dropped int
+}
+
+// New returns a mesh without links.
+func New(common logs.Common, c Config) *Mesh {
+	return &Mesh{Common: common, Config: c, links: map[ident.HostID]*conn{}, targets: map[ident.HostID]context.CancelFunc{}}
+}
+
+// Run takes links and keeps those to the targets until the context ends.
+func (m *Mesh) Run(ctx context.Context) error {
+	m.mu.Lock()
+	m.ctx = ctx
+	waiting := m.targets
+	m.targets = map[ident.HostID]context.CancelFunc{}
+	m.mu.Unlock()
+	for h := range waiting {
+		m.Target(h)
+	}
+	defer m.running.Wait()
+	if m.Listener == nil {
+		<-ctx.Done()
+		return nil
+	}
+	server := &http.Server{Handler: http.HandlerFunc(m.accept), ReadHeaderTimeout: dialTimeout, BaseContext: func(net.Listener) context.Context { return ctx }}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(m.Listener); err != nil && ctx.Err() == nil {
+		return fmt.Errorf("serve links: %w", err)
+	}
+	return nil
+}
+
+// Target keeps a link to a control host from now on.
+func (m *Mesh) Target(h ident.HostID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, known := m.targets[h]; known || h == m.Self.Host {
+		return
+	}
+	if m.ctx == nil {
+		m.targets[h] = nil
+		return
+	}
+	ctx, cancel := context.WithCancel(m.ctx)
+	m.targets[h] = cancel
+	m.running.Go(func() { m.keep(ctx, h) })
+}
+
+// Retarget drops the targets for which keep returns false.
+func (m *Mesh) Retarget(keep func(ident.HostID) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for h, cancel := range m.targets {
+		if !keep(h) && cancel != nil {
+			cancel()
+			delete(m.targets, h)
+		}
+	}
+}
+
+// Send queues a message for a host and reports whether there is a link that took it.
+func (m *Mesh) Send(to ident.HostID, msg Message) bool {
+	m.mu.Lock()
+	c := m.links[to]
+	m.mu.Unlock()
+	if c == nil {
+		return false
+	}
+	if !c.queue(msg) {
+		m.mu.Lock()
+		m.dropped++
+		m.mu.Unlock()
+		return false
+	}
+	return true
+}
+
+// SendAll queues a message for every linked host for which choose returns true.
+func (m *Mesh) SendAll(msg Message, choose func(Hello) bool) {
+	for _, h := range m.Linked() {
+		if choose(h) {
+			m.Send(h.Host, msg)
+		}
+	}
+}
+
+// Linked returns the hosts with a link.
+func (m *Mesh) Linked() []Hello {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list := make([]Hello, 0, len(m.links))
+	for _, c := range m.links {
+		list = append(list, c.peer)
+	}
+	return list
+}
+
+// keep dials a host again and again.
+func (m *Mesh) keep(ctx context.Context, h ident.HostID) {
+	failed := false
+	for ctx.Err() == nil {
+		err := m.dial(ctx, h)
+		if ctx.Err() != nil {
+			return
+		}
+		if !failed {
+			m.Log.WithField("step", "link").WithField("peer", h).WithError(err).Warn("link-lost")
+		}
+		failed = true
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialAfter):
+		}
+		if m.linkTo(h) != nil {
+			// The other side dialled meanwhile; its link serves both.
+			failed = false
+			m.awaitLoss(ctx, h)
+		}
+	}
+}
+
+func (m *Mesh) linkTo(h ident.HostID) *conn {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.links[h]
+}
+
+func (m *Mesh) awaitLoss(ctx context.Context, h ident.HostID) {
+	for c := m.linkTo(h); c != nil; c = m.linkTo(h) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.closed:
+		}
+	}
+}
+
+func (m *Mesh) dial(ctx context.Context, h ident.HostID) error {
+	if c := m.linkTo(h); c != nil {
+		m.awaitLoss(ctx, h)
+		return fmt.Errorf("link with %s ended", h)
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	client := &http.Client{Transport: &http.Transport{DialContext: dialTCP, DisableKeepAlives: true}}
+	ws, _, err := websocket.Dial(dialCtx, "ws://"+string(h)+"/", &websocket.DialOptions{HTTPClient: client})
+	if err != nil {
+		return fmt.Errorf("dial %s: %w", h, err)
+	}
+	return m.serve(ctx, ws)
+}
+
+func (m *Mesh) accept(w http.ResponseWriter, r *http.Request) {
+	ws, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		m.Log.WithField("step", "accept").WithField("peer", r.RemoteAddr).WithError(err).Warn("bad-link")
+		return
+	}
+	if err := m.serve(r.Context(), ws); err != nil {
+		m.Log.WithField("step", "link").WithField("peer", r.RemoteAddr).WithError(err).Debug("link-ended")
+	}
+}
+
+// serve runs one link until it breaks.
+func (m *Mesh) serve(ctx context.Context, ws *websocket.Conn) error {
+	c := newConn(ws)
+	defer c.close()
+	ws.SetReadLimit(maxMessage)
+	c.queue(Message{Hello: &m.Self})
+	if m.Greeting != nil {
+		for _, msg := range m.Greeting() {
+			c.queue(msg)
+		}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	m.running.Go(func() { c.write(ctx) })
+	m.running.Go(func() { c.watch(ctx) })
+	return c.read(ctx, m)
+}
+
+func (m *Mesh) up(c *conn) {
+	m.mu.Lock()
+	m.links[c.peer.Host] = c
+	m.mu.Unlock()
+	m.Log.WithField("peer", c.peer.Host).WithField("domain", c.peer.Domain).Info("link-up")
+	m.Handler.LinkUp(c.peer)
+}
+
+func (m *Mesh) down(c *conn) {
+	m.mu.Lock()
+	current := m.links[c.peer.Host] == c
+	if current {
+		delete(m.links, c.peer.Host)
+	}
+	m.mu.Unlock()
+	if current {
+		m.Log.WithField("peer", c.peer.Host).Info("link-down")
+		m.Handler.LinkDown(c.peer)
+	}
+}
--- /dev/null
+++ b/io/logs/bounded.go
@@ -0,0 +1,57 @@
+package logs
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+)
+
+// Bounds of the log.
+const (
+	waitingLines = 4096             // that wait for a slow reader
+	reportEvery  = 10 * time.Second // a line tells how many were dropped
+)
+
+// Bounded writes lines in the background: it never blocks, and drops lines when the reader is slow.
+type Bounded struct {
+	lines   chan []byte
+	dropped atomic.Int64
+}
+
+var _ io.Writer = (*Bounded)(nil)
+
+// NewBounded returns a writer that passes lines on to w.
+func NewBounded(w io.Writer) *Bounded {
+	b := &Bounded{lines: make(chan []byte, waitingLines)}
+	go b.run(w)
+	return b
+}
+
+// Write queues a line; it always succeeds.
+func (b *Bounded) Write(p []byte) (int, error) {
+	select {
+	case b.lines <- append([]byte(nil), p...):
+	default:
+		b.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+func (b *Bounded) run(w io.Writer) {
+	tick := time.NewTicker(reportEvery)
+	defer tick.Stop()
+	for {
+		var line []byte
+		select {
+		case line = <-b.lines:
+		case <-tick.C:
+			if n := b.dropped.Swap(0); n > 0 {
+				line = fmt.Appendf(nil, "log dropped=%d\n", n)
+			}
+		}
+		if _, err := w.Write(line); err != nil {
+			return // nobody reads the log any more
+		}
+	}
+}
--- /dev/null
+++ b/io/voter/log.go
@@ -0,0 +1,206 @@
+package voter
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"shallotgap/core/book"
+	"shallotgap/core/ident"
+	"shallotgap/core/layout"
+	"shallotgap/core/quorum"
+	"shallotgap/core/wire"
+	"shallotgap/core/world"
+	"shallotgap/io/clock"
+	"shallotgap/io/link"
+)
+
+// drainLog carries out what the log wants written, sent and applied.
+func (v *Voter) drainLog() {
+	for {
+		r := v.node.Ready()
+		if r.Empty() {
+			return
+		}
+		for _, m := range r.Now {
+			v.sendQuorum(m)
+		}
+		if r.Seq != 0 || len(r.After) > 0 {
+			v.disk.add(diskJob{
+				write: world.Write{Seq: r.Seq, Hard: r.Hard, Snapshot: r.Snapshot, Replace: r.Snapshot != nil, Entries: r.Entries},
+				then:  r.After, at: clock.Boot(),
+			})
+		}
+		if r.Snapshot != nil {
+			v.restore(*r.Snapshot)
+		}
+		for _, e := range r.Committed {
+			v.apply(e)
+		}
+	}
+}
+
+func (v *Voter) sendQuorum(m quorum.Message) { v.mesh.Send(m.To, link.Message{Quorum: &m}) }
+
+func (v *Voter) restore(s quorum.Snapshot) {
+	state, err := book.Restore(s.Data)
+	if err != nil {
+		v.Log.WithField("step", "restore").WithField("index", s.Index).WithError(err).Error("bad-snapshot")
+		return
+	}
+	v.book, v.applied, v.statusAt = state, s.Index, 0
+}
+
+// apply carries out a committed entry.
+func (v *Voter) apply(e quorum.Entry) {
+	v.applied = e.Index
+	v.sinceCut += len(e.Data)
+	if e.Kind != quorum.Normal {
+		return
+	}
+	var c book.Command
+	if err := wire.Unmarshal(e.Data, &c); err != nil {
+		v.Log.WithField("step", "apply").WithField("index", e.Index).WithError(err).Error("bad-entry")
+		return
+	}
+	past := v.pastLayouts(c)
+	if v.book.Apply(c) {
+		v.applyEffects(c, past, e.Index)
+	}
+	v.calls.committed(e.Index, e.Term)
+	v.compact()
+}
+
+func (v *Voter) pastLayouts(c book.Command) []*layout.Layout {
+	if c.Layout == nil || v.book.Layout == nil {
+		return nil
+	}
+	return []*layout.Layout{v.book.Layout}
+}
+
+func (v *Voter) applyEffects(c book.Command, past []*layout.Layout, index ident.Index) {
+	v.statusAt = 0
+	log := v.Log.WithField("step", "apply").WithField("index", index)
+	if c.Layout != nil {
+		v.noteLayout(past)
+		log.WithField("version", c.Layout.Version).WithField("routes", len(c.Layout.Routes)).Info("layout")
+	} else {
+		log.WithField("model", c.Newest.Of.Model).WithField("adapter", c.Newest.Of.Adapter).WithField("version", c.Newest.Version).Info("newest")
+	}
+	if v.lead == nil {
+		return
+	}
+	if c.Layout != nil {
+		v.lead.setLayout(v.book.Layout, v.census.List())
+	} else {
+		v.lead.authority.SetNewest(*c.Newest)
+	}
+}
+
+// compact replaces the log by a snapshot when it has grown.
+func (v *Voter) compact() {
+	if v.node.Length() < compactAt && v.sinceCut < compactOver {
+		return
+	}
+	data, err := v.book.Snapshot()
+	if err != nil {
+		v.Log.WithField("step", "compact").WithError(err).Error("bad-snapshot")
+		return
+	}
+	if snap, ok := v.node.Compact(v.applied, data); ok {
+		v.sinceCut = 0
+		v.disk.add(diskJob{write: world.Write{Snapshot: &snap}, at: clock.Boot()})
+	}
+}
+
+// diskJob is a write with the messages that wait for it.
+type diskJob struct {
+	write world.Write
+	then  []quorum.Message
+	at    ident.Time
+}
+
+// diskQueue holds the writes that wait for the disk; it has no bound, because the loop must never wait for the disk.
+type diskQueue struct {
+	mu    sync.Mutex
+	list  []diskJob
+	begun ident.Time // when the write under way was handed out; 0 for none
+	wake  chan struct{}
+}
+
+func newDiskQueue() *diskQueue { return &diskQueue{wake: make(chan struct{}, 1)} }
+
+func (q *diskQueue) add(j diskJob) {
+	q.mu.Lock()
+	q.list = append(q.list, j)
+	q.mu.Unlock()
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (q *diskQueue) take() []diskJob {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	batch := q.list
+	q.list = nil
+	q.begun = 0
+	if len(batch) > 0 {
+		q.begun = batch[0].at
+	}
+	return batch
+}
+
+// late returns how long the oldest write has been waited for.
+func (q *diskQueue) late(now ident.Time) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.begun == 0 {
+		return 0
+	}
+	return now.Sub(q.begun)
+}
+
+// writeAll makes writes durable in order, with one sync for those that wait together.
+func (v *Voter) writeAll(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-v.disk.wake:
+		}
+		for batch := v.disk.take(); len(batch) > 0; batch = v.disk.take() {
+			if err := v.writeBatch(batch); err != nil {
+				v.Log.WithField("step", "write").WithField("folder", v.Folder).WithError(err).Error("disk-failed")
+				return fmt.Errorf("disk failed, the host stops: %w", err)
+			}
+		}
+	}
+}
+
+func (v *Voter) writeBatch(batch []diskJob) error {
+	begun := time.Now()
+	var writes []world.Write
+	last := uint64(0)
+	for _, j := range batch {
+		if j.write.Hard != nil || j.write.Snapshot != nil || len(j.write.Entries) > 0 {
+			writes = append(writes, j.write)
+		}
+		last = max(last, j.write.Seq)
+	}
+	if err := v.store.Write(writes...); err != nil {
+		return err
+	}
+	v.Meter.Time("shallotgap_disk_write_seconds", time.Since(begun))
+	for _, j := range batch {
+		for _, m := range j.then {
+			v.sendQuorum(m)
+		}
+	}
+	if last != 0 {
+		v.post(func() { v.node.Written(last) })
+	}
+	return nil
+}
--- /dev/null
+++ b/io/voter/status.go
@@ -0,0 +1,209 @@
+package voter
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"shallotgap/core/census"
+	"shallotgap/core/ident"
+	"shallotgap/core/layout"
+	"shallotgap/io/clock"
+	"shallotgap/io/link"
+)
+
+// statusEvery is how often a control host tells the others its state; changes are told at once.
+const statusEvery = 400 * time.Millisecond
+
+func (v *Voter) status() *link.Status {
+	leader, term := v.node.Leader()
+	s := &link.Status{Leader: leader, Term: term, Leads: v.lead != nil, Changes: v.book.Changes, Control: v.controlHosts(), Entries: v.readyEntries(clock.Boot())}
+	if v.book.Layout != nil {
+		s.Layout = v.book.Layout.Version
+	}
+	return s
+}
+
+// controlHosts returns the members of the log and this host.
+func (v *Voter) controlHosts() []ident.HostID {
+	list := []ident.HostID{v.Self}
+	members, _ := v.node.Members()
+	for _, m := range members {
+		if m.Host != v.Self {
+			list = append(list, m.Host)
+		}
+	}
+	return list
+}
+
+func (v *Voter) readyEntries(now ident.Time) int {
+	n := 0
+	for _, e := range v.entries {
+		if e.said.Ready && now.Sub(e.at) < presenceLife {
+			n++
+		}
+	}
+	return n
+}
+
+func (v *Voter) sendStatus(now ident.Time) {
+	v.statusAt = now.Add(statusEvery)
+	v.mesh.SendAll(link.Message{Status: v.status()}, func(link.Hello) bool { return true })
+}
+
+// serveFetch sends an entry host the layout and the adapter versions that it lacks.
+func (v *Voter) serveFetch(to ident.HostID, f link.Fetch) {
+	if l := v.book.Layout; l != nil && l.Version > f.Layout {
+		c := v.changeFrom(f.Layout)
+		v.mesh.Send(to, link.Message{Change: &c})
+	}
+	if v.book.Changes > f.Changes {
+		v.mesh.Send(to, link.Message{Newest: &link.Newest{Changes: v.book.Changes, List: v.book.List()}})
+	}
+}
+
+// changeFrom returns the change from a version to the one in force; the whole of it for a version that is long past.
+func (v *Voter) changeFrom(from layout.Version) layout.Change {
+	for _, c := range v.versions {
+		if c.From == from && c.To == v.book.Layout.Version {
+			return c
+		}
+	}
+	return layout.Diff(nil, v.book.Layout)
+}
+
+// maxChanges is the number of versions from which entry hosts get a change instead of the whole layout.
+const maxChanges = 4
+
+// noteLayout remembers the changes from the latest versions to the one in force.
+func (v *Voter) noteLayout(past []*layout.Layout) {
+	v.versions = v.versions[:0]
+	for _, old := range past {
+		v.versions = append(v.versions, layout.Diff(old, v.book.Layout))
+	}
+}
+
+// Callers' addresses.
+
+// Addresses returns where callers of a failure domain may connect: ready entry hosts, those of the domain first and
+// alone when there are enough of them.
+func (v *Voter) Addresses(ctx context.Context, domain ident.DomainID) ([]string, error) {
+	var near, far []string
+	err := v.view(ctx, func() {
+		now := clock.Boot()
+		for _, e := range v.entries {
+			switch {
+			case !e.said.Ready || now.Sub(e.at) > presenceLife:
+			case e.hello.Domain == domain:
+				near = append(near, e.said.Address)
+			default:
+				far = append(far, e.said.Address)
+			}
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	list := near
+	for len(list) < enoughNear && len(far) > 0 {
+		list, far = append(list, far[0]), far[1:]
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), maxAddresses)], nil
+}
+
+// Bounds of an answer to a caller that asks where to connect.
+const (
+	enoughNear   = 2  // so that a caller has another one when the first fails
+	maxAddresses = 64 // callers use no more
+)
+
+// view runs f in the loop.
+func (v *Voter) view(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	v.post(func() { f(); close(done) })
+	select {
+	case <-done:
+		return nil
+	case <-v.ended:
+		return errEnded
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Endpoints.
+
+// Announce takes a heartbeat of an endpoint.
+func (v *Voter) Announce(ctx context.Context, e census.Entry) error {
+	return v.view(ctx, func() { v.observe([]census.Entry{e}, true) })
+}
+
+// Leave takes the word of an endpoint that it is gone.
+func (v *Voter) Leave(ctx context.Context, i ident.Instance) error {
+	return v.view(ctx, func() {
+		if e, ok := v.census.Leave(i.ID, i.Born, clock.Boot()); ok {
+			v.logEndpoint(e, "left")
+			v.spread(e)
+		}
+	})
+}
+
+// observe takes news of endpoints; direct is true when they spoke to this host.
+func (v *Voter) observe(list []census.Entry, direct bool) {
+	now := clock.Boot()
+	for _, e := range list {
+		e.Heard = now
+		news := v.census.Observe(e, now)
+		if news == census.Stale {
+			v.Meter.Count("shallotgap_heartbeats_total", "news", "stale")
+			continue
+		}
+		if v.lead != nil {
+			v.lead.authority.Observe(e, now)
+		}
+		if news == census.Changed {
+			v.logEndpoint(e, "changed")
+		}
+		if !direct {
+			continue
+		}
+		if news == census.Changed {
+			v.spread(e)
+		} else {
+			v.beats = append(v.beats, e)
+		}
+	}
+}
+
+func (v *Voter) logEndpoint(e census.Entry, outcome string) {
+	v.Log.WithField("step", "census").WithField("endpoint", e.Instance.ID).WithField("born", e.Instance.Born).WithField("seq", e.Seq).
+		WithField("state", e.State).WithField("address", e.Address).WithField("service", e.Service).WithField("outcome", outcome).Info("endpoint")
+}
+
+// spread tells all linked hosts of a change.
+func (v *Voter) spread(e census.Entry) {
+	v.mesh.SendAll(link.Message{Census: []census.Entry{e}}, func(h link.Hello) bool { return h.Control })
+	e.Held, e.Models = nil, nil
+	v.mesh.SendAll(link.Message{Census: []census.Entry{e}}, func(h link.Hello) bool { return !h.Control })
+}
+
+// forPeer leaves out what only control hosts need.
+func (v *Voter) forPeer(list []census.Entry, peer link.Hello) []census.Entry {
+	if !peer.Control {
+		for i := range list {
+			list[i].Held, list[i].Models = nil, nil
+		}
+	}
+	return list
+}
+
+// flushBeats tells the other control hosts of the heartbeats that changed nothing.
+func (v *Voter) flushBeats() {
+	if len(v.beats) == 0 {
+		return
+	}
+	v.mesh.SendAll(link.Message{Census: v.beats}, func(h link.Hello) bool { return h.Control })
+	v.beats = nil
+}
