--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -17,13 +17,16 @@
 type Authority struct {
 	Params
 	began   ident.Time
+	now     ident.Time // of the latest step
 	layout  *layout.Layout
 	newest  map[book.AdapterRef]book.Weights
 	engines map[ident.EndpointID]*engine
 	waiting map[ID]*waiter
 	placed  map[ID]ident.EndpointID
 	budgets map[ident.Service]*Budget
-	out     Effects
+	// modelLoads are the times of the latest loads of base models.
+	modelLoads map[ident.Service][]ident.Time
+	out        Effects
 	// superseded is set when an engine knows a later holder; nothing is ordered after that.
 	superseded bool
 }
@@ -42,7 +45,7 @@
 func New(p Params, now ident.Time) *Authority {
 	return &Authority{
 		Params: p, began: now, newest: map[book.AdapterRef]book.Weights{}, engines: map[ident.EndpointID]*engine{},
-		waiting: map[ID]*waiter{}, placed: map[ID]ident.EndpointID{}, budgets: map[ident.Service]*Budget{},
+		waiting: map[ID]*waiter{}, placed: map[ID]ident.EndpointID{}, budgets: map[ident.Service]*Budget{}, modelLoads: map[ident.Service][]ident.Time{},
 	}
 }
 
@@ -163,7 +166,7 @@
 	}
 	s.misses++
 	s.readyAt = now.Add(missPause)
-	if s.stored && s.misses == 1 {
+	if s.stored && s.misses == 1 && !e.disturbed(now) {
 		t.AdapterLoad = min(time.Duration(float64(t.AdapterLoad)*loadRaise), maxAdapterLoad)
 	}
 	if s.misses >= maxMisses {
@@ -177,8 +180,8 @@
 	missPause      = 40 * time.Millisecond // a tenth of a load from the store is 25 to 30 ms
 	maxMisses      = 3                     // then the engine is asked what it holds
 	loadRaise      = 1.1
-	loadLower      = 0.995
-	maxAdapterLoad = 2 * time.Second
+	loadLower      = 0.99
+	maxAdapterLoad = time.Second
 	minAdapterLoad = 50 * time.Millisecond
 )
 
@@ -207,7 +210,36 @@
 
 func (t *Authority) refuse(a Ask, c Cause, after time.Duration) {
 	t.reply(a, Reply{ID: a.ID, Cause: c, After: after})
-	t.note("refuse", a, "", string(c), fmt.Sprintf("left=%dms sends=%d waiting=%d", a.Left.Milliseconds(), a.Sends, len(t.waiting)))
+	t.note("refuse", a, "", string(c), fmt.Sprintf("left=%dms sends=%d waiting=%d adapter=%s %s", a.Left.Milliseconds(), a.Sends, len(t.waiting), a.Ref.Adapter, t.overview(a.Service)))
+}
+
+// overview counts the engines of a service by what keeps them from taking a request.
+func (t *Authority) overview(s ident.Service) string {
+	var ready, unsure, ordering, transit, stored, held, used, running int
+	distinct := map[book.AdapterRef]bool{}
+	for _, e := range t.engines {
+		if e.entry.Service != s || e.entry.State != census.Ready {
+			continue
+		}
+		ready++
+		if !e.known {
+			unsure++
+		}
+		if e.ordering {
+			ordering++
+		}
+		for ref, s := range e.slots {
+			distinct[ref] = true
+			held++
+			if s.pins > 0 {
+				used++
+			}
+		}
+		running += len(e.running)
+		all, fetched := e.transit(t.now)
+		transit, stored = transit+all, stored+fetched
+	}
+	return fmt.Sprintf("engines=%d unsure=%d ordering=%d loading=%d fetching=%d running=%d slots=%d used=%d distinct=%d", ready, unsure, ordering, transit, stored, running, held, used, len(distinct))
 }
 
 func (t *Authority) note(step string, a Ask, at ident.EndpointID, outcome, inputs string) {
@@ -216,8 +248,10 @@
 
 // Step decides on all that waits and returns what is to be done.
 func (t *Authority) Step(now ident.Time) Effects {
+	t.now = now
 	t.expire(now)
 	t.askReports(now)
+	t.placeModels(now)
 	t.followVersions(now)
 	for _, w := range t.queue(now) {
 		t.serve(w, now)
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -27,18 +27,27 @@
 	// readUntil is when the prompts that were sent are expected to be read.
 	readUntil ident.Time
 	trouble   trouble
+	// modelUntil is when a load of a base model should be complete; no adapter is ordered before.
+	modelUntil ident.Time
+	// resent is the order under way, and how often it was sent again for want of an answer.
+	resent int
+	// unclearAt is when an order last got no answer.
+	unclearAt ident.Time
 }
 
 // slot is a place for an adapter on an engine.
 type slot struct {
-	version  book.Weights
-	readyAt  ident.Time // when a load under way is expected to be complete
-	leaving  bool
-	pins     int
-	usedAt   ident.Time
-	uses     float64 // decayed count of requests
-	stored   bool    // the load under way comes from the store
-	misses   int     // refusals since the load should have been complete
+	version book.Weights
+	readyAt ident.Time // when a load under way is expected to be complete
+	leaving bool
+	pins    int
+	usedAt  ident.Time
+	uses    float64 // decayed count of requests
+	stored  bool    // the load under way comes from the store
+	// span is the time that its load takes, and placed is false until the engine has accepted the order.
+	span     time.Duration
+	placed   bool
+	misses   int // refusals since the load should have been complete
 	loadedAt ident.Time
 }
 
@@ -58,6 +67,14 @@
 	return e.entry.State == census.Ready && now.Sub(e.entry.Heard) < p.Silence
 }
 
+// disturbed reports whether orders to the engine were lost a moment ago, so that times of loads say little.
+func (e *engine) disturbed(now ident.Time) bool {
+	return e.unclearAt != 0 && now.Sub(e.unclearAt) < disturbedFor
+}
+
+// disturbedFor: an order without an answer is carried out up to some seconds later.
+const disturbedFor = 5 * time.Second
+
 func (e *engine) holdsModel(model string) bool {
 	for _, m := range e.entry.Models {
 		if m == model {
@@ -76,7 +93,7 @@
 	for _, h := range r.Held {
 		s := e.slots[h.Ref]
 		if s == nil {
-			s = &slot{usedAt: now, readyAt: now}
+			s = &slot{usedAt: now, readyAt: now, placed: true}
 			e.slots[h.Ref] = s
 		}
 		if h.Coming {
@@ -86,7 +103,7 @@
 		if !seen[h.Ref] || h.Coming {
 			s.version = h.Version
 		}
-		s.leaving = false
+		s.leaving, s.placed = false, true
 		seen[h.Ref] = true
 	}
 	for ref, s := range e.slots {
--- /dev/null
+++ b/core/grant/models.go
@@ -0,0 +1,92 @@
+package grant
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"shallotgap/core/book"
+	"shallotgap/core/ident"
+	"shallotgap/core/layout"
+)
+
+// Constants of loading base models.
+const (
+	// storePart is the part of the weight store's rate that is used; the rest covers loads of the former authority.
+	storePart   = 0.8
+	storeWindow = 5 * time.Second // in which the rate is counted; the shortest known
+	// loadSlack is the part of a load's stated time for which its result is waited for before it is ordered again.
+	loadSlack = 4
+)
+
+// placeModels orders a base model for the engines that hold none, such as those that have just started.
+//
+// Load: engines that crash and come back empty, while the others run out of places for adapters.
+func (t *Authority) placeModels(now ident.Time) {
+	for _, id := range slices.Sorted(maps.Keys(t.engines)) {
+		e := t.engines[id]
+		s, ok := t.layout.Service(e.entry.Service)
+		if !ok || s.Engine == nil || len(e.entry.Models) > 0 || !t.mayOrder(e, now) || now < e.modelUntil {
+			continue
+		}
+		m, ok := t.wantedModel(s)
+		if !ok || !t.spendLoad(s, now) {
+			continue
+		}
+		e.modelUntil = now.Add(m.LoadTime * loadSlack)
+		t.order(e, Order{Load: true, Ref: book.AdapterRef{Model: m.Name}, Cause: "engine without a model"}, now)
+	}
+}
+
+// mayOrder reports whether an order may be sent to an engine now.
+func (t *Authority) mayOrder(e *engine, now ident.Time) bool {
+	return e.known && !e.ordering && !t.superseded && e.usable(now, t.Params)
+}
+
+// wantedModel returns the model with the most requests for each engine that holds it, among those that fit.
+func (t *Authority) wantedModel(s layout.Service) (layout.Model, bool) {
+	var best layout.Model
+	most, found := 0.0, false
+	for _, m := range s.Engine.Models {
+		if s.Engine.RoomMB > 0 && m.WeightsMB > s.Engine.RoomMB {
+			continue
+		}
+		holders, requests := 0, 0
+		for _, e := range t.engines {
+			if e.entry.Service == s.Name && e.holdsModel(m.Name) {
+				holders++
+				requests += e.runningFor(m.Name)
+			}
+		}
+		for _, w := range t.waiting {
+			if w.ask.Service == s.Name && w.ask.Ref.Model == m.Name {
+				requests++
+			}
+		}
+		if each := float64(requests+1) / float64(holders+1); !found || each > most {
+			best, most, found = m, each, true
+		}
+	}
+	return best, found
+}
+
+func (e *engine) runningFor(model string) int {
+	n := 0
+	for _, r := range e.running {
+		if r.ask.Ref.Model == model {
+			n++
+		}
+	}
+	return n
+}
+
+// spendLoad takes one load out of what the weight store allows.
+func (t *Authority) spendLoad(s layout.Service, now ident.Time) bool {
+	recent := slices.DeleteFunc(t.modelLoads[s.Name], func(at ident.Time) bool { return now.Sub(at) > storeWindow })
+	t.modelLoads[s.Name] = recent
+	if s.Engine.LoadsPerSecond > 0 && float64(len(recent)+1) > s.Engine.LoadsPerSecond*storeWindow.Seconds()*storePart {
+		return false
+	}
+	t.modelLoads[s.Name] = append(recent, now)
+	return true
+}
--- a/core/grant/orders.go
+++ b/core/grant/orders.go
@@ -18,7 +18,7 @@
 		return
 	}
 	v := t.newest[w.ask.Ref]
-	o.engine.slots[w.ask.Ref] = &slot{version: v, readyAt: now.Add(o.wait), stored: o.stored, usedAt: now, loadedAt: now}
+	o.engine.slots[w.ask.Ref] = &slot{version: v, readyAt: now.Add(o.wait), span: o.wait, stored: o.stored, usedAt: now, loadedAt: now}
 	t.order(o.engine, Order{Load: true, Ref: w.ask.Ref, Version: v, Cause: "request " + w.ask.Request}, now)
 }
 
@@ -42,21 +42,32 @@
 	if e == nil || e.entry.Instance != o.Instance {
 		return
 	}
-	e.ordering, e.orderAt = false, now
 	s := e.slots[o.Ref]
+	if r == Unknown && e.resent < maxResends && !t.superseded {
+		// The same order with the same expectation: whichever copy comes first is carried out, and the other is refused.
+		e.resent++
+		e.unclearAt = now
+		t.out.Orders = append(t.out.Orders, o)
+		return
+	}
+	resent := e.resent > 0
+	e.ordering, e.orderAt, e.resent = false, now, 0
 	switch {
 	case r == Superseded:
 		t.superseded = true
 	case r == Conflict || r == Unknown || r == Misplaced:
+		if o.Ref.Adapter == "" {
+			e.modelUntil = now
+		}
 		e.known = false
 		e.reportAt = now.Add(t.reportLag())
-		if s != nil && o.Load && r != Unknown {
+		if s != nil && o.Load && r != Unknown && !resent {
 			delete(e.slots, o.Ref)
 		}
 	case o.Load:
 		e.orders++
 		if s != nil {
-			s.loadedAt = now
+			s.loadedAt, s.readyAt, s.placed = now, now.Add(s.span), true
 		}
 	default:
 		e.orders++
@@ -73,6 +84,9 @@
 	t.out.Notes = append(t.out.Notes, Note{Step: "ordered", Endpoint: o.Instance.ID, Outcome: r.String(), Inputs: fmt.Sprintf("adapter=%s load=%t expect=%d", o.Ref.Adapter, o.Load, o.Expect)})
 }
 
+// maxResends is how often an order without an answer is sent again at once.
+const maxResends = 3
+
 // reportLag is the age that an engine's report may have.
 func (t *Authority) reportLag() time.Duration { return reportAge }
 
@@ -92,13 +106,14 @@
 func (t *Authority) followVersions(now ident.Time) {
 	for _, id := range slices.Sorted(maps.Keys(t.engines)) {
 		e := t.engines[id]
-		if !e.known || e.ordering || t.superseded || !e.usable(now, t.Params) {
+		if !t.mayOrder(e, now) {
 			continue
 		}
 		if ref, ok := t.outdated(e, now); ok {
 			v := t.newest[ref]
 			s := e.slots[ref]
-			s.version, s.readyAt, s.stored, s.loadedAt, s.misses = v, now.Add(t.AdapterLoad), true, now, 0
+			s.version, s.readyAt, s.span, s.stored, s.loadedAt, s.misses = v, now.Add(t.AdapterLoad), t.AdapterLoad, true, now, 0
+			s.placed = false
 			t.order(e, Order{Load: true, Ref: ref, Version: v, Cause: "newer version"}, now)
 		}
 	}
--- a/core/grant/params.go
+++ b/core/grant/params.go
@@ -42,9 +42,9 @@
 		AdapterLoad: 265 * time.Millisecond,  // 250 ms on the deployments' sheets, and the way there
 		FastLoad:    0.12,                    // a tenth on the sheets, and the way there
 		Remembered:  48,
-		InTransit:   4, // bound of the engines
-		StoreKnee:   0.9,
-		ReadRate:    38, // sheets of both deployments
+		InTransit:   4,   // bound of the engines
+		StoreKnee:   0.5, // 32 of 60 and 64 of 140 engines on the sheets
+		ReadRate:    38,  // sheets of both deployments
 		LoadCost:    300 * time.Millisecond,
 		CrossDomain: 4 * time.Millisecond, // a round trip
 		Settle:      600 * time.Millisecond,
--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -143,6 +143,9 @@
 	s := e.slots[a.Ref]
 	if s != nil && !s.leaving && t.current(a.Ref, s) {
 		o.wait = max(0, s.readyAt.Sub(now))
+		if !s.placed {
+			o.wait = max(o.wait, s.span)
+		}
 		o.cost += o.wait
 		return o, true
 	}
@@ -168,7 +171,7 @@
 // withLoad adds the cost of loading the adapter first.
 func (t *Authority) withLoad(o option, e *engine, a Ask, engine *layout.Engine, storeBusy bool, now ident.Time) (option, bool) {
 	transit, _ := e.transit(now)
-	if !e.known || e.ordering || transit >= t.InTransit || t.superseded {
+	if !t.mayOrder(e, now) || transit >= t.InTransit {
 		return option{}, false
 	}
 	o.load = true
--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -79,13 +79,20 @@
 	// Memory is what running requests and cached prompts of one endpoint share.
 	Memory       ident.Tokens `json:"memory"`
 	AdapterSlots int          `json:"adapter-slots"`
-	Models       []Model      `json:"models"`
+	// RoomMB is the memory for weights of base models and adapters together.
+	RoomMB float64 `json:"room-mb,omitempty"`
+	// LoadsPerSecond is what the weight store allows over all endpoints of the service; adapters don't count.
+	LoadsPerSecond float64 `json:"loads-per-second,omitempty"`
+	Models         []Model `json:"models"`
 }
 
 // Model is a base model of an engine.
 type Model struct {
 	Name     string `json:"name"`
 	Adapters int    `json:"adapters,omitempty"`
+	// WeightsMB is the size of its weights, LoadTime the time of a load from the store.
+	WeightsMB float64       `json:"weights-mb,omitempty"`
+	LoadTime  time.Duration `json:"load-time,omitempty"`
 }
 
 // Limits bound what callers may send.
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -93,7 +93,10 @@
 const (
 	presenceEvery = 400 * time.Millisecond
 	forgetAfter   = 60 * time.Second
-	fetchAgain    = 300 * time.Millisecond
+	// layoutPart is the part of its time for which a request waits for the first layout after a start.
+	layoutPart = 4
+	startWait  = time.Second // for requests that name no deadline
+	fetchAgain = 300 * time.Millisecond
 )
 
 // Front is one entry host.
@@ -108,6 +111,7 @@
 	mesh     *link.Mesh
 	client   *dial.Client
 	router   atomic.Pointer[layout.Router]
+	loaded   chan struct{} // closed once there is a layout
 	draining atomic.Bool
 
 	mu      sync.Mutex
@@ -130,7 +134,7 @@
 // New returns an entry host that is not running yet.
 func New(common logs.Common, meter *metric.Meter, c Config) *Front {
 	f := &Front{
-		Common: common, Config: c, Meter: meter, client: dial.New(), census: census.New(forgetAfter), picker: pick.New(c.Domain),
+		Common: common, Config: c, Meter: meter, client: dial.New(), loaded: make(chan struct{}), census: census.New(forgetAfter), picker: pick.New(c.Domain),
 		newest: map[book.AdapterRef]book.Weights{}, control: map[ident.HostID]link.Status{}, asks: map[grant.ID]*ask{},
 		lately: map[book.AdapterRef]grant.Place{}, budgets: map[ident.Service]*grant.Budget{}, born: clock.Boot(), entries: 1,
 	}
@@ -286,6 +290,9 @@
 		f.mesh.Send(from, link.Message{Fetch: &link.Fetch{Changes: f.changes}})
 		return
 	}
+	if own == nil {
+		close(f.loaded)
+	}
 	f.router.Store(layout.NewRouter(next))
 	f.Log.WithField("step", "layout").WithField("peer", from).WithField("version", c.To).WithField("routes", len(next.Routes)).Info("layout")
 }
--- a/io/front/plain.go
+++ b/io/front/plain.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"shallotgap/core/census"
 	"shallotgap/core/grant"
@@ -22,7 +23,7 @@
 // plain answers a request of a plain service.
 func (x *exchange) plain(ctx context.Context) {
 	var avoid []ident.EndpointID
-	for x.sends < max(1, x.route.Attempts)+maxRefusals {
+	for range max(1, x.route.Attempts) + maxRefusals {
 		if x.sends > 0 && !x.spend() {
 			x.giveUp("budget-spent", retryPause)
 			return
@@ -31,6 +32,12 @@
 			x.countRequest()
 		}
 		e, ok := x.choose(avoid)
+		if !ok && len(avoid) > 0 {
+			// All were tried; the first may have recovered, or an answer of failure may not come again.
+			pause(ctx, samePause)
+			avoid = nil
+			e, ok = x.choose(avoid)
+		}
 		if !ok {
 			x.giveUp("no-endpoint", retryPause)
 			return
@@ -53,6 +60,16 @@
 // maxRefusals is the number of refusals after which a request is turned away, besides the route's attempts.
 const maxRefusals = 2
 
+// samePause is the pause before a request goes to an endpoint again: some requests' time there.
+const samePause = 20 * time.Millisecond
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // choose returns the best endpoint of the service, those that were tried already only if there is no other.
 func (x *exchange) choose(avoid []ident.EndpointID) (census.Entry, bool) {
 	x.mu.Lock()
--- a/io/front/serve.go
+++ b/io/front/serve.go
@@ -63,17 +63,17 @@
 
 // admit reads the request and finds its route; false when it was answered already.
 func (x *exchange) admit() bool {
-	router := x.router.Load()
-	if router.Layout == nil {
-		x.refuse(http.StatusServiceUnavailable, "no-layout", startPause)
-		return false
-	}
 	call, err := x.Dialect.Call(x.r)
 	if err != nil {
 		x.reject(http.StatusBadRequest, err.Error())
 		return false
 	}
 	x.call = call
+	router := x.awaitLayout()
+	if router.Layout == nil {
+		x.refuse(http.StatusServiceUnavailable, "no-layout", startPause)
+		return false
+	}
 	route, ok := router.Match(x.r.Host, x.r.URL.Path)
 	if !ok {
 		x.reject(http.StatusNotFound, "no-route")
@@ -88,6 +88,22 @@
 	return x.readBody(router.Layout.Limits)
 }
 
+// awaitLayout returns the routes; just after a start, it waits for them for a part of the caller's time.
+func (x *exchange) awaitLayout() *layout.Router {
+	wait := startWait
+	if x.call.Deadline > 0 {
+		wait = min(wait, x.call.Deadline/layoutPart)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-x.loaded:
+	case <-timer.C:
+	case <-x.r.Context().Done():
+	}
+	return x.router.Load()
+}
+
 // startPause is the pause for callers that come before the layout is known.
 const startPause = 300 * time.Millisecond
 
--- a/io/voter/lead.go
+++ b/io/voter/lead.go
@@ -23,7 +23,7 @@
 }
 
 // orderTimeout bounds an order and a question to an engine, which answer at once.
-const orderTimeout = 600 * time.Millisecond
+const orderTimeout = 200 * time.Millisecond
 
 // runAuthority begins and ends leading, and carries out the authority's decisions.
 func (v *Voter) runAuthority(ctx context.Context) {
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -55,8 +55,8 @@
 // Times and bounds of a control host.
 const (
 	tickEvery   = 10 * time.Millisecond
-	heartbeat   = 100 * time.Millisecond // a fifth of the election timeout
-	election    = 500 * time.Millisecond // many round trips, and a fraction of the callers' targets
+	heartbeat   = 60 * time.Millisecond  // a fifth of the election timeout
+	election    = 300 * time.Millisecond // many round trips, and a fraction of the callers' targets
 	repairAfter = 1500 * time.Millisecond
 	maxBatch    = 256              // entries of one append
 	compactAt   = 2000             // entries
