Pass an answer's head on with its first event; take no success without signature

Successes without a signature, or with a body of another encoding, were passed on too. Ruled out: answers to other requests (their id is checked), bytes after an answer (the connection is closed).

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -56,7 +56,7 @@
 	NotRun bool
 	// Stray is true when the answer belongs to another request.
 	Stray bool
-	// Genuine is true when the answer bears the endpoint's signature.
+	// Genuine is true when the answer bears the endpoint's signature and nothing has changed its body's encoding.
 	Genuine bool
 	Load    *pick.Load
 }
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"shallotgap/core/grant"
@@ -82,10 +83,10 @@
 	defer answer.Finish()
 	v := x.Dialect.Verdict(x.call.ID, answer.StatusCode, answer.Header)
 	switch {
-	case v.Stray:
+	case v.Stray || (answer.StatusCode/100 == 2 && !v.Genuine):
 		answer.Abort()
 		x.sent = true
-		x.note("send", p.Instance.ID, "stray-answer", "")
+		x.note("send", p.Instance.ID, "stray-answer", "genuine="+strconv.FormatBool(v.Genuine))
 		x.release(q, grant.Failed, 0)
 		return broken
 	case v.NotRun:
@@ -165,18 +166,26 @@
 	last    string // id of the last event that was passed on
 	rest    []byte // the beginning of an event
 	firstAt ident.Time
-	begun   bool
+	head    http.Header
 }
 
-// begin passes on the head of the first endpoint's answer; a stream that goes on elsewhere keeps it.
+// begin takes the head of an answer. It is passed on with the first event, so that an answer that breaks off before can
+// be replaced by a failure of this host's own; a stream that goes on elsewhere keeps its first head.
 func (e *events) begin(answer *dial.Answer) {
 	e.rest = e.rest[:0]
-	if e.begun {
+	if !e.x.committed {
+		e.head = e.x.Dialect.Incoming(answer.Header)
+	}
+}
+
+// commit passes on the head.
+func (e *events) commit() {
+	if e.x.committed {
 		return
 	}
-	e.begun = true
+	e.x.committed = true
 	h := e.x.w.Header()
-	for k, v := range e.x.Dialect.Incoming(answer.Header) {
+	for k, v := range e.head {
 		h[k] = v
 	}
 }
@@ -202,6 +211,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF) && len(e.rest) == 0:
+			e.commit()
 			return nil
 		case errors.Is(err, io.EOF):
 			return errCutEvent
@@ -229,7 +239,7 @@
 	if id, ok := lastID(e.rest[:end]); ok {
 		e.last = id
 	}
-	e.x.committed = true
+	e.commit()
 	if _, err := e.x.w.Write(e.rest[:end]); err != nil {
 		return err
 	}
