Send one request after a load, the others when it was not refused

Ruled out: a second authority's budget (one leader in that window), grey endpoints (421, not 503). Change: a load is proved by one request; the estimate moves by 2% up and 0.1% down; a request is sent four times at most; a host without authority sends no request twice.

--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -98,7 +98,7 @@
 	b := t.budgetOf(a.Service)
 	if a.Sends == 0 {
 		b.Asked(now)
-	} else if !b.Spend(now) {
+	} else if a.Sends >= maxSends || !b.Spend(now) {
 		t.refuse(a, BudgetSpent, a.Left/8)
 		return
 	}
@@ -165,8 +165,8 @@
 		return
 	}
 	s.misses++
-	s.readyAt = now.Add(missPause)
-	if s.stored && s.misses == 1 && !e.disturbed(now) {
+	s.readyAt, s.probe, s.proved = now.Add(missPause), "", false
+	if s.stored && !e.disturbed(now) {
 		t.AdapterLoad = min(time.Duration(float64(t.AdapterLoad)*loadRaise), maxAdapterLoad)
 	}
 	if s.misses >= maxMisses {
@@ -175,12 +175,16 @@
 	}
 }
 
+// maxSends bounds the endpoints that one request is sent to, refusals included.
+const maxSends = 4
+
 // Constants of learning the time of loads.
 const (
-	missPause      = 40 * time.Millisecond // a tenth of a load from the store is 25 to 30 ms
-	maxMisses      = 3                     // then the engine is asked what it holds
-	loadRaise      = 1.1
-	loadLower      = 0.99
+	missPause      = 25 * time.Millisecond // a tenth of a load from the store
+	maxMisses      = 5                     // then the engine is asked what it holds
+	loadRaise      = 1.02                  // with loadLower, one load in twenty is tried too early
+	loadLower      = 0.999
+	probeWait      = 15 * time.Millisecond // a refusal takes a few round trips
 	maxAdapterLoad = time.Second
 	minAdapterLoad = 50 * time.Millisecond
 )
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -45,8 +45,12 @@
 	uses    float64 // decayed count of requests
 	stored  bool    // the load under way comes from the store
 	// span is the time that its load takes, and placed is false until the engine has accepted the order.
-	span     time.Duration
-	placed   bool
+	span   time.Duration
+	placed bool
+	// probe is the first request after a load; the others follow when it was not refused at once.
+	probe    ID
+	probeAt  ident.Time
+	proved   bool
 	misses   int // refusals since the load should have been complete
 	loadedAt ident.Time
 }
@@ -93,7 +97,7 @@
 	for _, h := range r.Held {
 		s := e.slots[h.Ref]
 		if s == nil {
-			s = &slot{usedAt: now, readyAt: now, placed: true}
+			s = &slot{usedAt: now, readyAt: now, placed: true, proved: !h.Coming}
 			e.slots[h.Ref] = s
 		}
 		if h.Coming {
--- a/core/grant/orders.go
+++ b/core/grant/orders.go
@@ -113,7 +113,7 @@
 			v := t.newest[ref]
 			s := e.slots[ref]
 			s.version, s.readyAt, s.span, s.stored, s.loadedAt, s.misses = v, now.Add(t.AdapterLoad), t.AdapterLoad, true, now, 0
-			s.placed = false
+			s.placed, s.proved, s.probe = false, false, ""
 			t.order(e, Order{Load: true, Ref: ref, Version: v, Cause: "newer version"}, now)
 		}
 	}
--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -94,13 +94,25 @@
 	o.engine.start(a, p.Version, now, o.read)
 	delete(t.waiting, a.ID)
 	t.placed[a.ID] = o.engine.entry.Instance.ID
-	if s := o.engine.slots[a.Ref]; s != nil && s.stored && s.misses == 0 && now.Sub(s.readyAt) < missPause {
-		t.AdapterLoad = max(time.Duration(float64(t.AdapterLoad)*loadLower), minAdapterLoad)
+	if s := o.engine.slots[a.Ref]; s != nil && !s.proved {
+		t.probe(s, a.ID, now)
 	}
 	t.reply(a, Reply{ID: a.ID, Place: p})
 	t.note("grant", a, p.Instance.ID, "granted", fmt.Sprintf("waited=%dms cost=%dms running=%d tokens=%d version=%d adapter=%s", now.Sub(w.since).Milliseconds(), o.cost.Milliseconds(), len(o.engine.running), o.engine.tokens, p.Version, a.Ref.Adapter))
 }
 
+// probe makes a request the first one after a load, or takes the load as proved when the first was not refused.
+func (t *Authority) probe(s *slot, id ID, now ident.Time) {
+	if s.probe == "" {
+		s.probe, s.probeAt = id, now
+		return
+	}
+	s.proved = true
+	if s.stored && s.misses == 0 {
+		t.AdapterLoad = max(time.Duration(float64(t.AdapterLoad)*loadLower), minAdapterLoad)
+	}
+}
+
 // best returns the engine with the lowest cost.
 func (t *Authority) best(w *waiter, engine *layout.Engine, now ident.Time) (option, bool) {
 	var best option
@@ -146,6 +158,9 @@
 		if !s.placed {
 			o.wait = max(o.wait, s.span)
 		}
+		if o.wait == 0 && !s.proved && s.probe != "" {
+			o.wait = max(0, s.probeAt.Add(probeWait).Sub(now))
+		}
 		o.cost += o.wait
 		return o, true
 	}
--- a/io/front/ask.go
+++ b/io/front/ask.go
@@ -139,7 +139,7 @@
 func (f *Front) alone(q *ask) (grant.Reply, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.leader != "" || q.place != nil || clock.Boot().Sub(q.at) < aloneAfter {
+	if f.leader != "" || q.place != nil || q.ask.Sends > 0 || clock.Boot().Sub(q.at) < aloneAfter {
 		return grant.Reply{}, false
 	}
 	p, known := f.lately[q.ask.Ref]
