--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -165,8 +165,14 @@
 		return
 	}
 	s.misses++
-	s.readyAt, s.probe, s.proved = now.Add(missPause), "", false
-	if s.stored && !e.disturbed(now) {
+	s.readyAt, s.probe, s.proved = now.Add(missPause<<s.misses), "", false
+	if !s.stored {
+		// The engine has forgotten the adapter and brings it from the store.
+		s.stored = true
+		s.readyAt = max(s.readyAt, s.loadedAt.Add(t.AdapterLoad))
+		return
+	}
+	if !e.disturbed(now) {
 		t.AdapterLoad = min(time.Duration(float64(t.AdapterLoad)*loadRaise), maxAdapterLoad)
 	}
 	if s.misses >= maxMisses {
@@ -180,7 +186,7 @@
 
 // Constants of learning the time of loads.
 const (
-	missPause      = 25 * time.Millisecond // a tenth of a load from the store
+	missPause      = 10 * time.Millisecond // doubled with each refusal; two of them are about a load of a known adapter
 	maxMisses      = 5                     // then the engine is asked what it holds
 	loadRaise      = 1.02                  // with loadLower, one load in twenty is tried too early
 	loadLower      = 0.999
--- /dev/null
+++ b/core/grant/load_test.go
@@ -0,0 +1,107 @@
+package grant_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shallotgap/core/book"
+	"shallotgap/core/grant"
+	"shallotgap/core/ident"
+)
+
+// Popular and rare adapters, more of them than all engines have places: nearly all requests are served, most in time.
+func TestManyAdaptersAreServed(t *testing.T) {
+	s := newSim(t, 6)
+	s.run(time.Second)
+	s.traffic(20, 20*time.Second, func() string { return s.zipf(300, 1.2) })
+	s.run(6 * time.Second)
+	s.check()
+	assert.Assert(t, s.served >= s.asked*97/100, "served %d of %d, refused %v", s.served, s.asked, s.causes)
+	assert.Assert(t, s.onTime >= s.asked*9/10, "%d of %d in time", s.onTime, s.asked)
+}
+
+// Engines crash and come back empty: they get a base model again, and the places of all are used.
+func TestEmptyEnginesGetAModel(t *testing.T) {
+	s := newSim(t, 3)
+	s.run(time.Second)
+	s.crash("e0")
+	s.crash("e1")
+	s.addEngine("e3", false)
+	s.addEngine("e4", false)
+	s.run(5 * time.Second)
+	for _, id := range []string{"e3", "e4"} {
+		e := s.engines[ident.EndpointID(id)]
+		assert.Assert(t, e.modelAt != 0, "engine %s was given no model", id)
+	}
+	before := s.served
+	s.traffic(8, 10*time.Second, func() string { return s.zipf(100, 1.2) })
+	s.run(6 * time.Second)
+	s.check()
+	assert.Assert(t, s.served-before >= 75, "served %d of 80", s.served-before)
+}
+
+// Half of the orders get no answer and are carried out seconds later, after newer ones: adapters still come, and no
+// engine is ordered to hold too many.
+func TestUnansweredOrdersAreSentAgain(t *testing.T) {
+	s := newSim(t, 6)
+	s.loseOrders = 0.5
+	s.run(time.Second)
+	s.traffic(10, 20*time.Second, func() string { return s.zipf(200, 1.2) })
+	s.run(6 * time.Second)
+	s.check()
+	assert.Assert(t, s.served >= s.asked*9/10, "served %d of %d, refused %v", s.served, s.asked, s.causes)
+}
+
+// Many requests for one adapter wait for its load, which takes longer than expected: few of them are sent too early.
+func TestOneProbeAfterALoad(t *testing.T) {
+	s := newSim(t, 6)
+	s.load = 400 * time.Millisecond
+	s.run(time.Second)
+	for round := range 5 {
+		for range 40 {
+			s.ask(fmt.Sprintf("b%d", round), 0)
+		}
+		s.run(3 * time.Second)
+	}
+	s.check()
+	assert.Equal(t, s.served, s.asked, "refused %v", s.causes)
+	assert.Assert(t, s.bounced <= 5*8, "%d requests were sent too early", s.bounced)
+}
+
+// A newer version of an adapter replaces the older one where no request uses it, and no request starts on the older one.
+func TestNewerVersionsReplaceOlderOnes(t *testing.T) {
+	s := newSim(t, 2)
+	s.run(time.Second)
+	s.traffic(4, 3*time.Second, func() string { return "a1" })
+	s.auth.SetNewest(book.Newest{Of: book.AdapterRef{Model: "base", Adapter: "a1"}, Version: 2})
+	s.traffic(4, 5*time.Second, func() string { return "a1" })
+	s.run(3 * time.Second)
+	s.check()
+	assert.Equal(t, s.served, s.asked, "refused %v", s.causes)
+	newer := 0
+	for _, e := range s.engines {
+		if slot := e.adapters["a1"]; slot != nil {
+			assert.Equal(t, slot.version, book.Weights(2))
+			newer++
+		}
+	}
+	assert.Assert(t, newer > 0)
+}
+
+// A third of the engines is lost at the peak: no storm of loads or sends follows, and service goes on in proportion.
+func TestLosingAThirdOfTheEngines(t *testing.T) {
+	s := newSim(t, 6)
+	s.run(time.Second)
+	s.traffic(16, 8*time.Second, func() string { return s.zipf(200, 1.2) })
+	s.crash("e0")
+	s.crash("e1")
+	before, asked := s.served, s.asked
+	s.traffic(16, 10*time.Second, func() string { return s.zipf(200, 1.2) })
+	s.run(6 * time.Second)
+	s.check()
+	assert.Assert(t, s.served-before >= (s.asked-asked)*7/10, "served %d of %d, refused %v", s.served-before, s.asked-asked, s.causes)
+	assert.Equal(t, s.causes[grant.BudgetSpent], 0)
+}
