--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -26,7 +26,10 @@
 	tokens   ident.Tokens // memory that running requests need
 	// readUntil is when the prompts that were sent are expected to be read.
 	readUntil ident.Time
-	trouble   trouble
+	// reading is the decayed time spent on prompts, as of readAt.
+	reading time.Duration
+	readAt  ident.Time
+	trouble trouble
 	// modelUntil is when a load of a base model should be complete; no adapter is ordered before.
 	modelUntil ident.Time
 	// resent is the order under way, and how often it was sent again for want of an answer.
@@ -165,6 +168,8 @@
 	e.running[a.ID] = &run{ask: a, endBy: now.Add(a.Left), version: v}
 	e.tokens += a.Prompt + a.Output
 	e.readUntil = max(e.readUntil, now).Add(read)
+	e.reading = e.readingAt(now) + read
+	e.readAt = now
 	e.prompts.add(a, now)
 	if s := e.slots[a.Ref]; s != nil && a.Ref.Adapter != "" {
 		s.pins++
--- a/core/grant/grant.go
+++ b/core/grant/grant.go
@@ -36,6 +36,8 @@
 	// Priority is 0 for the most urgent.
 	Priority int           `json:"priority,omitempty"`
 	Target   time.Duration `json:"target,omitempty"`
+	// Gap is the longest pause between two events that is on time.
+	Gap time.Duration `json:"gap,omitempty"`
 	// Left is how long the caller will still wait.
 	Left time.Duration `json:"left"`
 	// Sends counts the endpoints that the request was sent to before.
--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -147,6 +147,7 @@
 	o.read = time.Duration(float64(unread) / t.ReadRate * float64(time.Millisecond))
 	o.cost = o.read + max(0, e.readUntil.Sub(now))
 	o.cost += time.Duration(float64(len(e.running)) / float64(engine.Slots) * float64(batchCost))
+	o.cost += e.pauseCost(a, o.read, now)
 	o.cost += time.Duration(e.trouble.now(now) * float64(troubleCost))
 	if e.entry.Domain != a.Domain {
 		o.cost += t.CrossDomain
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -32,7 +32,7 @@
 func (x *exchange) stream(ctx context.Context) {
 	a := grant.Ask{
 		Request: x.call.ID, Service: x.service.Name, Ref: x.call.Ref, Prompt: x.call.Prompt, Output: x.call.Output, Parts: x.call.Parts,
-		Priority: x.route.Priority, Target: x.route.Target,
+		Priority: x.route.Priority, Target: x.route.Target, Gap: x.route.MaxGap,
 	}
 	flow := &events{x: x, last: x.call.Resumed}
 	ran := 0
