--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -1,7 +1,6 @@
 package grant
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -48,6 +47,7 @@
 	preparing ident.EndpointID
 	// nextTry is when it is looked at again, so that many events in a row don't cost a look each.
 	nextTry ident.Time
+	rank    time.Duration
 }
 
 // New returns an authority that knows nothing yet.
@@ -309,26 +309,6 @@
 	return out
 }
 
-// queue returns the waiting asks, the most urgent first. A request gains a class of urgency for each ageing step, so
-// that less urgent ones are not starved.
-func (t *Authority) queue(now ident.Time) []*waiter {
-	list := make([]*waiter, 0, len(t.waiting))
-	for _, w := range t.waiting {
-		if now >= w.nextTry {
-			list = append(list, w)
-		}
-	}
-	rank := func(w *waiter) int { return w.ask.Priority - int(now.Sub(w.since)/ageing) }
-	slices.SortFunc(list, func(a, b *waiter) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.since, b.since), cmp.Compare(a.ask.ID, b.ask.ID))
-	})
-	return list
-}
-
-// ageing is the wait that makes up for one class of urgency: an eighth of the usual target of 1 s, after which waiting
-// begins to cost.
-const ageing = 125 * time.Millisecond
-
 // expire ends runs whose end was lost, and forgets engines that are gone.
 func (t *Authority) expire(now ident.Time) {
 	for id, e := range t.engines {
