--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -27,6 +27,7 @@
 	wants map[book.AdapterRef]int
 	// fetching is the number of loads from the store under way, ready that of engines, as of this step.
 	fetching, ready int
+	loads           int // from the store, so far
 	expiredAt       ident.Time
 	placed          map[ID]ident.EndpointID
 	budgets         map[ident.Service]*Budget
@@ -188,47 +189,6 @@
 	}
 }
 
-// missed handles a request that the engine did not run: most often its adapter was not there yet.
-func (t *Authority) missed(e *engine, r *run, now ident.Time) {
-	s := e.slots[r.ask.Ref]
-	if s == nil || now.Sub(s.loadedAt) > t.BeatLag {
-		e.trouble.note(true, now)
-		if s != nil {
-			e.known = false
-		}
-		return
-	}
-	s.misses++
-	s.readyAt, s.probe, s.proved = now.Add(missPause<<s.misses), "", false
-	if !s.stored {
-		// The engine has forgotten the adapter and brings it from the store.
-		s.stored = true
-		s.readyAt = max(s.readyAt, s.loadedAt.Add(t.AdapterLoad))
-		return
-	}
-	if took := now.Sub(s.loadedAt) + missPause; !e.disturbed(now) && took > t.AdapterLoad {
-		t.AdapterLoad = min(t.AdapterLoad+(took-t.AdapterLoad)/loadRaise, maxAdapterLoad)
-	}
-	if s.misses >= maxMisses {
-		s.misses = 0
-		e.known, e.reportAt = false, now
-	}
-}
-
-// maxSends bounds the endpoints that one request is sent to, refusals included.
-const maxSends = 4
-
-// Constants of learning the time of loads.
-const (
-	missPause      = 10 * time.Millisecond // doubled with each refusal; two of them are about a load of a known adapter
-	maxMisses      = 5                     // then the engine is asked what it holds
-	loadRaise      = 4                     // part of the difference by which a refusal raises the estimate
-	loadLower      = 0.999
-	probeWait      = 15 * time.Millisecond // a refusal takes a few round trips
-	maxAdapterLoad = time.Second
-	minAdapterLoad = 50 * time.Millisecond
-)
-
 func (t *Authority) place(e *engine, a Ask) *Place {
 	p := &Place{Instance: e.entry.Instance, Address: e.entry.Address}
 	if a.Ref.Adapter != "" {
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -54,7 +54,8 @@
 	probe    ID
 	probeAt  ident.Time
 	proved   bool
-	misses   int // refusals since the load should have been complete
+	early    bool // tried earlier than expected, to learn
+	misses   int  // refusals since the load should have been complete
 	loadedAt ident.Time
 }
 
--- a/core/grant/load_test.go
+++ b/core/grant/load_test.go
@@ -121,3 +121,29 @@
 	}
 	b.ReportMetric(float64(s.served)/float64(s.asked), "served/asked")
 }
+
+// The time of loads is learned from refusals and from loads that are tried early; refusals for other causes, such as a
+// newer version, leave it alone.
+func TestLoadTimeIsLearned(t *testing.T) {
+	cases := map[string]struct{ load, least, most time.Duration }{
+		"faster than expected": {load: 120 * time.Millisecond, least: 90 * time.Millisecond, most: 200 * time.Millisecond},
+		"slower than expected": {load: 450 * time.Millisecond, least: 400 * time.Millisecond, most: 520 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newSim(t, 8)
+			s.load = c.load
+			s.run(time.Second)
+			for i := range 600 {
+				s.ask(fmt.Sprintf("n%d", i), 0)
+				s.ask(fmt.Sprintf("n%d", i), 0)
+				if i%50 == 0 {
+					s.auth.SetNewest(book.Newest{Of: book.AdapterRef{Model: "base", Adapter: ident.Adapter(fmt.Sprintf("n%d", max(0, i-1)))}, Version: 2})
+				}
+				s.run(100 * time.Millisecond)
+			}
+			s.check()
+			assert.Assert(t, s.auth.AdapterLoad >= c.least && s.auth.AdapterLoad <= c.most, "expects %v", s.auth.AdapterLoad)
+		})
+	}
+}
--- a/core/grant/orders.go
+++ b/core/grant/orders.go
@@ -19,7 +19,12 @@
 	if o.stored {
 		t.fetching++
 	}
-	o.engine.slots[w.ask.Ref] = &slot{version: v, readyAt: now.Add(o.wait), span: o.wait, stored: o.stored, usedAt: now, loadedAt: now}
+	s := &slot{version: v, span: o.wait, stored: o.stored, usedAt: now, loadedAt: now}
+	if o.stored {
+		s.span, s.early = t.loadSpan()
+	}
+	s.readyAt = now.Add(s.span)
+	o.engine.slots[w.ask.Ref] = s
 	t.order(o.engine, Order{Load: true, Ref: w.ask.Ref, Version: v, Cause: "request " + w.ask.Request}, now)
 }
 
--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -104,18 +104,6 @@
 	t.note("grant", a, p.Instance.ID, "granted", fmt.Sprintf("waited=%dms cost=%dms running=%d tokens=%d version=%d adapter=%s", now.Sub(w.since).Milliseconds(), o.cost.Milliseconds(), len(o.engine.running), o.engine.tokens, p.Version, a.Ref.Adapter))
 }
 
-// probe makes a request the first one after a load, or takes the load as proved when the first was not refused.
-func (t *Authority) probe(s *slot, id ID, now ident.Time) {
-	if s.probe == "" {
-		s.probe, s.probeAt = id, now
-		return
-	}
-	s.proved = true
-	if s.stored && s.misses == 0 {
-		t.AdapterLoad = max(time.Duration(float64(t.AdapterLoad)*loadLower), minAdapterLoad)
-	}
-}
-
 // best returns the engine with the lowest cost.
 func (t *Authority) best(w *waiter, engine *layout.Engine, now ident.Time) (option, bool) {
 	var best option
