Take an adapter of unknown version as outdated once a version is announced

Cause: an adapter ordered before any version was announced counted as current for ever; its requests were sent with the new version and refused until a heartbeat told the old one. Found by the test of learned load times (533 ms against 450 ms). Ruled out: the learning itself (a refusal raises the estimate to the time it shows at most).

--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -171,7 +171,7 @@
 // current reports whether a slot holds the newest version of its adapter.
 func (t *Authority) current(ref book.AdapterRef, s *slot) bool {
 	v := t.newest[ref]
-	return v == 0 || s.version == 0 || s.version >= v
+	return v == 0 || s.version >= v
 }
 
 // withLoad adds the cost of loading the adapter first.
