--- a/io/site/site.go
+++ b/io/site/site.go
@@ -52,7 +52,7 @@
 	extraPart = 0.4
 	// addressLife is how long callers keep the addresses that they are given: short, so that they are gone from a
 	// stopping host well before its grace ends.
-	addressLife = time.Second
+	addressLife = 2 * time.Second
 )
 
 // host is one process.
--- a/io/site/stop.go
+++ b/io/site/stop.go
@@ -10,9 +10,9 @@
 
 // Times of stopping.
 const (
-	// callersGone is the time after which callers no longer use the addresses of a host that stops: some keep an answer
-	// for three times its life.
-	callersGone = 3*addressLife + 200*time.Millisecond
+	// callersGone is how long a host that stops still takes connections: most callers have asked for new addresses by
+	// then, and the others find the port closed and go to another address.
+	callersGone = addressLife + 1200*time.Millisecond
 	// endMargin is how long before the end of the grace the last answers are cut.
 	endMargin = 400 * time.Millisecond
 	// leaderGone is how long a control host that stops goes on answering while the others elect a leader.
