--- a/io/cmds/platform.go
+++ b/io/cmds/platform.go
@@ -13,8 +13,9 @@
 
 // Platform is the command that runs one host on the users' platform.
 type Platform struct {
-	LogLevel string `default:"info" enum:"debug,info,warn,error" help:"Lowest level of log lines."`
-	Metrics  string `help:"Port to serve metrics on, below /metrics."`
+	LogLevel  string `default:"info" enum:"debug,info,warn,error" help:"Lowest level of log lines."`
+	Metrics   string `help:"Port to serve metrics on, below /metrics."`
+	BindLinks string `help:"Address to listen on for other hosts, if it differs from the one that they are told."`
 }
 
 // Run serves until the process is told to stop and has drained.
@@ -26,6 +27,9 @@
 	if p.Metrics != "" {
 		c.Metrics = site.Listen("0.0.0.0:" + p.Metrics)
 	}
+	if p.BindLinks != "" {
+		c.BindLinks = site.Listen(p.BindLinks)
+	}
 	common, err := logs.New(logs.NewBounded(env.Out), c.Name, p.LogLevel)
 	if err != nil {
 		return coded(Usage, err)
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -44,12 +44,13 @@
 			x.giveUp(string(reply.Cause), reply.After)
 			return
 		}
-		f := x.sendStream(ctx, q, flow)
+		last := !x.route.Resumable || ran+1 >= x.route.Attempts
+		f := x.sendStream(ctx, q, flow, last)
 		switch {
 		case f == done:
 			return
 		case f == refill && ctx.Err() == nil:
-		case f == broken && x.route.Resumable && ran+1 < x.route.Attempts && ctx.Err() == nil:
+		case f == broken && !last && ctx.Err() == nil:
 			ran++
 			a.Avoid = append(a.Avoid, q.place.Instance.ID)
 		default:
@@ -71,8 +72,8 @@
 	return "endpoint-failed"
 }
 
-// sendStream sends the request to its place and passes the answer on.
-func (x *exchange) sendStream(ctx context.Context, q *ask, flow *events) fate {
+// sendStream sends the request to its place and passes the answer on; last is true when it may not run once more.
+func (x *exchange) sendStream(ctx context.Context, q *ask, flow *events, last bool) fate {
 	p := *q.place
 	begun := clock.Boot()
 	answer, err := x.client.Do(ctx, x.request(Target{Instance: p.Instance, Version: p.Version, Left: x.left(), Resume: flow.last}, p.Address))
@@ -98,7 +99,7 @@
 	}
 	x.sent = true
 	if answer.StatusCode/100 != 2 {
-		return x.failedAnswer(q, answer, flow)
+		return x.failedAnswer(q, answer, last)
 	}
 	flow.begin(answer)
 	err = flow.copy(answer)
@@ -145,10 +146,10 @@
 }
 
 // failedAnswer passes an endpoint's own failure on, unless the stream can go on elsewhere.
-func (x *exchange) failedAnswer(q *ask, answer *dial.Answer, flow *events) fate {
+func (x *exchange) failedAnswer(q *ask, answer *dial.Answer, last bool) fate {
 	x.note("send", q.place.Instance.ID, "failed", http.StatusText(answer.StatusCode))
 	x.release(q, grant.Failed, 0)
-	if x.committed {
+	if x.committed || !last {
 		answer.Abort()
 		return broken
 	}
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -163,7 +163,7 @@
 
 // dialTCP opens a connection that breaks soon after the other host stops answering.
 func dialTCP(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+	d := net.Dialer{Timeout: connectTimeout, Control: func(_, _ string, raw syscall.RawConn) error {
 		var failed error
 		err := raw.Control(func(fd uintptr) {
 			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(SilentAfter.Milliseconds()))
--- a/io/link/message.go
+++ b/io/link/message.go
@@ -103,10 +103,13 @@
 	PingEvery   = 400 * time.Millisecond
 	SilentAfter = 1300 * time.Millisecond
 
-	queueLength  = 8192     // messages that wait for a slow link
-	maxMessage   = 64 << 20 // bytes of one message
-	redialAfter  = 150 * time.Millisecond
-	dialTimeout  = 800 * time.Millisecond // a host that is up answers within a few round trips
-	writeTimeout = 1200 * time.Millisecond
-	batchLength  = 64 // messages that travel together
+	queueLength = 8192     // messages that wait for a slow link
+	maxMessage  = 64 << 20 // bytes of one message
+	redialAfter = 100 * time.Millisecond
+	// connectTimeout bounds the opening of a connection, which the other host's kernel answers at once; one without power
+	// does not answer, and may be up again a moment later.
+	connectTimeout = 200 * time.Millisecond
+	dialTimeout    = 800 * time.Millisecond // of the introduction, which needs the other process
+	writeTimeout   = 1200 * time.Millisecond
+	batchLength    = 64 // messages that travel together
 )
--- a/io/site/config.go
+++ b/io/site/config.go
@@ -28,8 +28,10 @@
 	Folder string
 	// Voters is the number of control hosts that should vote.
 	Voters int
-	// Links is where control hosts take links.
+	// Links is where control hosts take links, and names them.
 	Links Listen
+	// BindLinks is where they listen for them, if that differs, as behind a forwarded address.
+	BindLinks Listen
 	// Callers and Ready are set for an entry host, Control and Directory for a control host.
 	Callers, Ready, Control, Directory Listen
 	// Metrics is the address of the metrics; empty for none.
@@ -56,6 +58,9 @@
 	fill(&c.OrderPause, 3*time.Second)        // lease of the deployments known
 	fill(&c.RetryWindow, 10*time.Second)      // window of the deployments known
 	c.Voters = max(1, c.Voters)
+	if c.BindLinks == "" {
+		c.BindLinks = c.Links
+	}
 	return c
 }
 
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -119,7 +119,7 @@
 }
 
 func (h *host) startVoter(ctx context.Context) error {
-	links, err := net.Listen("tcp", string(h.Links))
+	links, err := net.Listen("tcp", string(h.BindLinks))
 	if err != nil {
 		return fmt.Errorf("listen for links: %w", err)
 	}
