Listen for links at the told address unless another is named; end short graces in time

Cause: BindLinks took its default before the address of links was known, so a host assembled in two steps listened on a port of the system's choice (platform tests: no entry host is ready, 20 s, every run). A grace shorter than the time that callers need to go elsewhere was spent on that alone. Ruled out: load (the test failed alone too).

--- a/io/site/config.go
+++ b/io/site/config.go
@@ -58,9 +58,6 @@
 	fill(&c.OrderPause, 3*time.Second)        // lease of the deployments known
 	fill(&c.RetryWindow, 10*time.Second)      // window of the deployments known
 	c.Voters = max(1, c.Voters)
-	if c.BindLinks == "" {
-		c.BindLinks = c.Links
-	}
 	return c
 }
 
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -119,7 +120,7 @@
 }
 
 func (h *host) startVoter(ctx context.Context) error {
-	links, err := net.Listen("tcp", string(h.BindLinks))
+	links, err := net.Listen("tcp", string(cmp.Or(h.BindLinks, h.Links)))
 	if err != nil {
 		return fmt.Errorf("listen for links: %w", err)
 	}
--- a/io/site/stop.go
+++ b/io/site/stop.go
@@ -28,13 +28,13 @@
 	h.Log.WithField("grace", h.Grace.String()).Info("stopping")
 	if h.voter != nil {
 		h.voter.Stop()
-		pause(ctx, leaderGone)
+		pause(ctx, min(leaderGone, h.Grace/4))
 	}
 	if h.front == nil {
 		return
 	}
 	h.front.Drain()
-	pause(ctx, callersGone-time.Since(begun))
+	pause(ctx, min(callersGone, h.Grace/2)-time.Since(begun))
 	ctx, cancel := context.WithTimeout(ctx, h.Grace-endMargin-time.Since(begun))
 	defer cancel()
 	err := h.front.Server.Shutdown(ctx)
