--- a/io/front/ask.go
+++ b/io/front/ask.go
@@ -19,7 +19,10 @@
 	// aloneAfter is how long no authority may answer before this host sends to where the adapter was served last:
 	// the shortest election and a round trip.
 	aloneAfter = 600 * time.Millisecond
-	aloneLife  = 30 * time.Second // of the memory of where adapters were served
+	// authorityPart is the part of a request's time for which it waits while no authority answers.
+	authorityPart = 3
+	// authorityPause is the pause for callers that are turned away then: an election and a round of links.
+	authorityPause = 800 * time.Millisecond
 )
 
 // ask is a request that waits for a place or has one.
@@ -52,11 +55,22 @@
 			if r, ok := f.alone(q); ok {
 				return q, r
 			}
+			if f.abandoned(q) {
+				f.withdraw(q)
+				return q, grant.Reply{ID: a.ID, Cause: grant.NoAuthority, After: authorityPause}
+			}
 			f.sendAsk(q)
 		}
 	}
 }
 
+// abandoned reports whether no authority has answered for so much of a request's time that its caller is better told.
+func (f *Front) abandoned(q *ask) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leader == "" && q.place == nil && clock.Boot().Sub(q.at) > max(aloneAfter, q.ask.Left/authorityPart)
+}
+
 func (f *Front) open(a grant.Ask) *ask {
 	f.mu.Lock()
 	f.seq++
