--- /dev/null
+++ b/core/book/book_test.go
@@ -0,0 +1,48 @@
+package book_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"shallotgap/core/book"
+	"shallotgap/core/layout"
+)
+
+func TestApply(t *testing.T) {
+	ref := book.AdapterRef{Model: "m", Adapter: "a1"}
+	cases := map[string]struct {
+		commands []book.Command
+		changed  bool // by the last one
+		version  layout.Version
+		newest   book.Weights
+	}{
+		"a higher layout":          {commands: []book.Command{{Layout: &layout.Layout{Version: 2}}, {Layout: &layout.Layout{Version: 5}}}, changed: true, version: 5},
+		"an older layout":          {commands: []book.Command{{Layout: &layout.Layout{Version: 5}}, {Layout: &layout.Layout{Version: 2}}}, version: 5},
+		"the same layout again":    {commands: []book.Command{{Layout: &layout.Layout{Version: 5}}, {Layout: &layout.Layout{Version: 5}}}, version: 5},
+		"a newer adapter":          {commands: []book.Command{{Newest: &book.Newest{Of: ref, Version: 2}}, {Newest: &book.Newest{Of: ref, Version: 3}}}, changed: true, newest: 3},
+		"an older adapter":         {commands: []book.Command{{Newest: &book.Newest{Of: ref, Version: 3}}, {Newest: &book.Newest{Of: ref, Version: 2}}}, newest: 3},
+		"a command without effect": {commands: []book.Command{{}}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := book.New()
+			changed := false
+			for _, x := range c.commands {
+				changed = b.Apply(x)
+			}
+			data, err := b.Snapshot()
+			assert.NilError(t, err)
+			restored, err := book.Restore(data)
+			assert.NilError(t, err)
+			for _, b := range []*book.Book{b, restored} {
+				assert.Equal(t, changed, c.changed)
+				assert.Equal(t, b.Newest[ref], c.newest)
+				if c.version > 0 {
+					assert.Equal(t, b.Layout.Version, c.version)
+				}
+			}
+			assert.Equal(t, restored.Changes, b.Changes)
+		})
+	}
+}
--- /dev/null
+++ b/core/census/census_test.go
@@ -0,0 +1,85 @@
+package census_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shallotgap/core/census"
+	"shallotgap/core/ident"
+)
+
+func entry(id string, born, seq uint64, address string, state census.State) census.Entry {
+	return census.Entry{Instance: ident.Instance{ID: ident.EndpointID(id), Born: ident.Incarnation(born)}, Seq: seq, Service: "s", Address: address, State: state}
+}
+
+func TestObserve(t *testing.T) {
+	const ready, draining, gone = census.Ready, census.Draining, census.Gone
+	cases := map[string]struct {
+		said []census.Entry
+		last census.News
+		want map[string]census.State
+	}{
+		"a later heartbeat": {
+			said: []census.Entry{entry("a", 1, 1, "x", ready), entry("a", 1, 2, "x", ready)},
+			last: census.Alive, want: map[string]census.State{"a": ready},
+		},
+		"a doubled heartbeat": {
+			said: []census.Entry{entry("a", 1, 2, "x", ready), entry("a", 1, 2, "x", ready)},
+			last: census.Stale, want: map[string]census.State{"a": ready},
+		},
+		"a late heartbeat does not undo draining": {
+			said: []census.Entry{entry("a", 1, 3, "x", draining), entry("a", 1, 2, "x", ready)},
+			last: census.Stale, want: map[string]census.State{"a": draining},
+		},
+		"one that drains does not come back": {
+			said: []census.Entry{entry("a", 1, 3, "x", draining), entry("a", 1, 4, "x", ready)},
+			last: census.Stale, want: map[string]census.State{"a": draining},
+		},
+		"a restart under the same id": {
+			said: []census.Entry{entry("a", 1, 9, "x", gone), entry("a", 2, 1, "x", ready)},
+			last: census.Changed, want: map[string]census.State{"a": ready},
+		},
+		"a heartbeat of the former start": {
+			said: []census.Entry{entry("a", 2, 1, "x", ready), entry("a", 1, 9, "x", ready)},
+			last: census.Stale, want: map[string]census.State{"a": ready},
+		},
+		"another endpoint takes the address": {
+			said: []census.Entry{entry("a", 1, 1, "x", ready), entry("b", 2, 1, "x", ready)},
+			last: census.Changed, want: map[string]census.State{"a": gone, "b": ready},
+		},
+		"a late heartbeat of the one before at the address": {
+			said: []census.Entry{entry("b", 2, 1, "x", ready), entry("a", 1, 5, "x", ready)},
+			last: census.Stale, want: map[string]census.State{"b": ready},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := census.New(time.Minute)
+			var last census.News
+			for i, e := range c.said {
+				last = table.Observe(e, ident.Time(i))
+			}
+			assert.Equal(t, last, c.last)
+			states := map[string]census.State{}
+			for _, e := range table.List() {
+				states[string(e.Instance.ID)] = e.State
+			}
+			assert.DeepEqual(t, states, c.want)
+		})
+	}
+}
+
+func TestLeaveAndExpire(t *testing.T) {
+	table := census.New(time.Minute)
+	table.Observe(entry("a", 7, 1, "x", census.Ready), 0)
+	_, left := table.Leave("a", 6, 1)
+	assert.Assert(t, !left, "a leave of the former start counted")
+	_, left = table.Leave("a", 7, 1)
+	assert.Assert(t, left)
+	assert.Equal(t, len(table.Of("s")), 0)
+	assert.Equal(t, table.Observe(entry("a", 7, 5, "x", census.Ready), 2), census.Stale)
+	table.Expire(ident.Time(2 * time.Minute))
+	assert.Equal(t, len(table.List()), 0)
+}
