Let a new authority know which adapters are in use

Ruled out: late heartbeats (none differed), lost orders (none after the first second). Change: a place counts the running requests when it is learned; one that is being dropped stays so; each doubt is logged.

--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -91,11 +91,19 @@
 			old.entry.Models = models
 		}
 		if e.State == census.Ready {
-			old.compare(e.Held, now, t.Params)
+			if cause := old.compare(e.Held, now, t.Params); cause != "" {
+				t.doubt(old, now, cause)
+			}
 		}
 	}
 }
 
+// doubt has an engine asked what it holds, not before the given time; no order goes there until it has answered.
+func (t *Authority) doubt(e *engine, after ident.Time, cause string) {
+	e.known, e.reportAt = false, after
+	t.out.Notes = append(t.out.Notes, Note{Step: "doubt", Endpoint: e.entry.Instance.ID, Outcome: "asked", Inputs: cause})
+}
+
 // Ask takes a request for a place. An ask that is known already changes nothing, so it may be sent again.
 func (t *Authority) Ask(a Ask, now ident.Time) {
 	if _, known := t.waiting[a.ID]; known {
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -1,6 +1,7 @@
 package grant
 
 import (
+	"fmt"
 	"time"
 
 	"shallotgap/core/book"
@@ -105,6 +106,7 @@
 		s := e.slots[h.Ref]
 		if s == nil {
 			s = &slot{usedAt: now, readyAt: now, placed: true, proved: !h.Coming}
+			s.pins = e.users(h.Ref) // an entry host may have told of them before the engine did
 			e.slots[h.Ref] = s
 		}
 		if h.Coming {
@@ -114,7 +116,7 @@
 		if !seen[h.Ref] || h.Coming {
 			s.version = h.Version
 		}
-		s.leaving, s.placed = false, true
+		s.placed = true
 		seen[h.Ref] = true
 	}
 	for ref, s := range e.slots {
@@ -124,10 +126,22 @@
 	}
 }
 
-// compare drops the adapters that a heartbeat, made well after the last order, does not list.
-func (e *engine) compare(held []census.Held, now ident.Time, p Params) {
+// users counts the running requests for an adapter.
+func (e *engine) users(ref book.AdapterRef) int {
+	n := 0
+	for _, r := range e.running {
+		if r.ask.Ref == ref {
+			n++
+		}
+	}
+	return n
+}
+
+// compare returns how a heartbeat, made well after the last order, differs from what the orders should have led to; empty
+// when it doesn't.
+func (e *engine) compare(held []census.Held, now ident.Time, p Params) string {
 	if !e.known || e.ordering || now.Sub(e.orderAt) < p.BeatLag {
-		return
+		return ""
 	}
 	listed := map[book.AdapterRef]book.Weights{}
 	for _, h := range held {
@@ -139,17 +153,16 @@
 		}
 		version, ok := listed[ref]
 		if !ok || (version != s.version && s.version != 0) {
-			// What the engine holds differs from what its orders should have led to.
-			e.known = false
-			return
+			return fmt.Sprintf("heartbeat lists %s at version %d, orders gave %d", ref.Adapter, version, s.version)
 		}
 		s.version = version
 	}
 	for ref := range listed {
 		if e.slots[ref] == nil {
-			e.known = false
+			return fmt.Sprintf("heartbeat lists %s, which was not ordered", ref.Adapter)
 		}
 	}
+	return ""
 }
 
 // free returns how many adapters can be loaded without dropping one.
--- a/core/grant/load_test.go
+++ b/core/grant/load_test.go
@@ -163,3 +163,16 @@
 		})
 	}
 }
+
+// The authority moves to another host again and again at the peak: what runs keeps its adapters, and service goes on.
+func TestAuthorityMoves(t *testing.T) {
+	s := newSim(t, 4)
+	s.run(time.Second)
+	for range 6 {
+		s.traffic(12, 2500*time.Millisecond, func() string { return s.zipf(200, 1.2) })
+		s.failover()
+	}
+	s.run(6 * time.Second)
+	s.check()
+	assert.Assert(t, s.served >= s.asked*85/100, "served %d of %d, refused %v", s.served, s.asked, s.causes)
+}
--- a/core/grant/loadtime.go
+++ b/core/grant/loadtime.go
@@ -39,7 +39,7 @@
 	if s == nil || s.proved || now.Sub(s.loadedAt) > t.BeatLag {
 		e.trouble.note(true, now)
 		if s != nil {
-			e.known = false
+			t.doubt(e, now, "refused a request for "+string(r.ask.Ref.Adapter))
 		}
 		return
 	}
@@ -58,7 +58,7 @@
 	}
 	if s.misses >= maxMisses {
 		s.misses = 0
-		e.known, e.reportAt = false, now
+		t.doubt(e, now, "refused several requests for "+string(r.ask.Ref.Adapter))
 	}
 }
 
--- a/core/grant/orders.go
+++ b/core/grant/orders.go
@@ -62,11 +62,13 @@
 	case r == Superseded:
 		t.superseded = true
 	case r == Conflict || r == Unknown || r == Misplaced:
+		if s != nil {
+			s.leaving = false
+		}
 		if o.Ref.Adapter == "" {
 			e.modelUntil = now
 		}
-		e.known = false
-		e.reportAt = now.Add(t.reportLag())
+		t.doubt(e, now.Add(t.reportLag()), "order "+r.String())
 		if s != nil && o.Load && r != Unknown && !resent {
 			delete(e.slots, o.Ref)
 		}
@@ -84,8 +86,7 @@
 	}
 	if r == Accepted && !o.Load {
 		// The engine waits for runs of the adapter; its report tells when it is dropped.
-		e.known = false
-		e.reportAt = now.Add(t.reportLag())
+		t.doubt(e, now.Add(t.reportLag()), "drops an adapter in use")
 	}
 	t.out.Notes = append(t.out.Notes, Note{Step: "ordered", Endpoint: o.Instance.ID, Outcome: r.String(), Inputs: fmt.Sprintf("adapter=%s load=%t expect=%d", o.Ref.Adapter, o.Load, o.Expect)})
 }
--- a/core/grant/sim_test.go
+++ b/core/grant/sim_test.go
@@ -30,6 +30,8 @@
 	load    time.Duration // time of an adapter's load from the store
 
 	asked, served, refused, bounced, overfull int
+	underUse                                  int // orders to drop an adapter that a request uses
+	live                                      map[grant.ID]grant.Live
 	onTime                                    int
 	causes                                    map[grant.Cause]int
 	notes                                     []grant.Note
@@ -73,7 +75,7 @@
 	t.Helper()
 	s := &sim{
 		t: t, rand: rand.New(rand.NewPCG(7, 9)), now: ident.Time(time.Hour), engines: map[ident.EndpointID]*simEngine{},
-		load: 250 * time.Millisecond, causes: map[grant.Cause]int{}, asks: map[grant.ID]grant.Ask{}, begins: map[grant.ID]ident.Time{},
+		load: 250 * time.Millisecond, causes: map[grant.Cause]int{}, live: map[grant.ID]grant.Live{}, asks: map[grant.ID]grant.Ask{}, begins: map[grant.ID]ident.Time{},
 	}
 	s.layout = &layout.Layout{Version: 1, Services: []layout.Service{{Name: service, Engine: &layout.Engine{
 		Slots: 32, Memory: 100_000, AdapterSlots: simSlots, RoomMB: 100, LoadsPerSecond: 2,
@@ -130,6 +132,20 @@
 	return list
 }
 
+// failover replaces the authority by one that knows heartbeats and, a moment later, what entry hosts say is running.
+func (s *sim) failover() {
+	s.auth = grant.New(grant.Defaults(), s.now)
+	s.auth.SetLayout(s.layout)
+	for _, e := range s.engines {
+		s.auth.Observe(e.entry, e.entry.Heard)
+	}
+	s.after(simStep, func() {
+		for _, l := range s.live {
+			s.auth.Resume(l, s.now)
+		}
+	})
+}
+
 // crash takes an engine away without a word.
 func (s *sim) crash(id ident.EndpointID) { delete(s.engines, id) }
 
@@ -195,6 +211,10 @@
 		s.after(simStep, func() { s.again(a, grant.Unreachable) })
 		return
 	}
+	if e.entry.Instance != r.Place.Instance {
+		s.after(simStep, func() { s.again(a, grant.Unreachable) })
+		return
+	}
 	slot := e.adapters[a.Ref.Adapter]
 	if a.Ref.Adapter != "" && (slot == nil || slot.readyAt > s.now || (r.Place.Version != 0 && slot.version != r.Place.Version)) {
 		s.bounced++
@@ -205,6 +225,7 @@
 		slot.pins++
 	}
 	e.running++
+	s.live[a.ID] = grant.Live{Ask: a, Instance: r.Place.Instance}
 	first := 40*time.Millisecond + time.Duration(e.running)*5*time.Millisecond
 	if s.readRate > 0 {
 		first += time.Duration(float64(a.Prompt) / s.readRate * float64(time.Millisecond))
@@ -218,6 +239,7 @@
 			slot.pins--
 		}
 		s.served++
+		delete(s.live, a.ID)
 		s.auth.End(grant.End{ID: a.ID, Outcome: grant.Served, First: first}, s.now)
 	})
 }
@@ -256,6 +278,10 @@
 		return grant.Conflict
 	}
 	e.orders++
+	if slot := e.adapters[o.Ref.Adapter]; !o.Load && slot != nil && slot.pins > 0 {
+		s.underUse++
+		return grant.Accepted
+	}
 	if !o.Load {
 		delete(e.adapters, o.Ref.Adapter)
 		e.dropped = append(e.dropped, o.Ref.Adapter)
@@ -321,4 +347,5 @@
 func (s *sim) check() {
 	s.t.Helper()
 	assert.Equal(s.t, s.overfull, 0, "an engine was ordered to load more adapters than it has places for")
+	assert.Equal(s.t, s.underUse, 0, "an engine was ordered to drop an adapter in use")
 }
