Load a base model only where an engine is needed

Change: models go to empty engines while half of the places, batches or memory of the others is in use, or when a request waits for a model that none holds; engines that are silent don't count as room.

--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -33,6 +33,7 @@
 	budgets         map[ident.Service]*Budget
 	// modelLoads are the times of the latest loads of base models.
 	modelLoads map[ident.Service][]ident.Time
+	pressures  map[ident.Service]pressure
 	out        Effects
 	// superseded is set when an engine knows a later holder; nothing is ordered after that.
 	superseded bool
@@ -55,7 +56,7 @@
 func New(p Params, now ident.Time) *Authority {
 	return &Authority{
 		Params: p, began: now, newest: map[book.AdapterRef]book.Weights{}, engines: map[ident.EndpointID]*engine{},
-		waiting: map[ID]*waiter{}, wants: map[book.AdapterRef]int{}, placed: map[ID]ident.EndpointID{}, budgets: map[ident.Service]*Budget{}, modelLoads: map[ident.Service][]ident.Time{},
+		waiting: map[ID]*waiter{}, wants: map[book.AdapterRef]int{}, placed: map[ID]ident.EndpointID{}, budgets: map[ident.Service]*Budget{}, modelLoads: map[ident.Service][]ident.Time{}, pressures: map[ident.Service]pressure{},
 	}
 }
 
@@ -265,6 +266,9 @@
 	if now.Sub(t.expiredAt) >= expireEvery {
 		t.expiredAt = now
 		t.expire(now)
+		if t.layout != nil {
+			t.measurePressure(now)
+		}
 	}
 	t.countLoads(now)
 	t.askReports(now)
