Weigh pauses by how many streams they make late, and copies by the places in use

Change: entry hosts tell the longest pause of each stream; the share that was late raises the weights up to four times; a further copy costs up to 0.9 s as the service's places, batches or memory fill.

--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -25,6 +25,8 @@
 	sorted []*engine
 	// wants counts the waiting requests for each adapter.
 	wants map[book.AdapterRef]int
+	// copies counts the engines that hold each adapter, as of this step.
+	copies map[book.AdapterRef]int
 	// fetching is the number of loads from the store under way, ready that of engines, as of this step.
 	fetching, ready int
 	loads           int // from the store, so far
@@ -34,7 +36,9 @@
 	// modelLoads are the times of the latest loads of base models.
 	modelLoads map[ident.Service][]ident.Time
 	pressures  map[ident.Service]pressure
-	out        Effects
+	// strained is the smoothed share of streams of each service that were late for a pause.
+	strained map[ident.Service]float64
+	out      Effects
 	// superseded is set when an engine knows a later holder; nothing is ordered after that.
 	superseded bool
 }
@@ -56,7 +60,7 @@
 func New(p Params, now ident.Time) *Authority {
 	return &Authority{
 		Params: p, began: now, newest: map[book.AdapterRef]book.Weights{}, engines: map[ident.EndpointID]*engine{},
-		waiting: map[ID]*waiter{}, wants: map[book.AdapterRef]int{}, placed: map[ID]ident.EndpointID{}, budgets: map[ident.Service]*Budget{}, modelLoads: map[ident.Service][]ident.Time{}, pressures: map[ident.Service]pressure{},
+		waiting: map[ID]*waiter{}, wants: map[book.AdapterRef]int{}, copies: map[book.AdapterRef]int{}, placed: map[ID]ident.EndpointID{}, budgets: map[ident.Service]*Budget{}, modelLoads: map[ident.Service][]ident.Time{}, pressures: map[ident.Service]pressure{}, strained: map[ident.Service]float64{},
 	}
 }
 
@@ -187,6 +191,7 @@
 	switch end.Outcome {
 	case Served:
 		t.learnReading(r, end.First)
+		t.learnPauses(r.ask, end.Gap)
 		e.trouble.note(false, now)
 		e.trouble.down = false
 	case Failed:
--- a/core/grant/grant.go
+++ b/core/grant/grant.go
@@ -94,6 +94,8 @@
 	Outcome Outcome `json:"outcome"`
 	// First is the time from sending to the first event; 0 when none came.
 	First time.Duration `json:"first,omitempty"`
+	// Gap is the longest pause between two events.
+	Gap time.Duration `json:"gap,omitempty"`
 }
 
 // Live is a place in use, as an entry host tells a new authority.
--- a/core/grant/params.go
+++ b/core/grant/params.go
@@ -22,6 +22,8 @@
 	ReadRate float64
 	// LoadCost is the waiting time that a load from the store may save to be worth its price.
 	LoadCost time.Duration
+	// CopyCost is what a second copy of an adapter costs besides when all places are in use.
+	CopyCost time.Duration
 	// CrossDomain is the cost of an engine in another failure domain.
 	CrossDomain time.Duration
 	// Settle is how long a new authority drops no adapters, while hosts tell it what runs.
@@ -45,8 +47,9 @@
 		InTransit:   4,   // bound of the engines
 		StoreKnee:   0.5, // 32 of 60 and 64 of 140 engines on the sheets
 		ReadRate:    38,  // sheets of both deployments
-		LoadCost:    450 * time.Millisecond,
-		CrossDomain: 4 * time.Millisecond, // a round trip
+		LoadCost:    300 * time.Millisecond,
+		CopyCost:    900 * time.Millisecond, // most of a target of 1 s
+		CrossDomain: 4 * time.Millisecond,   // a round trip
 		Settle:      600 * time.Millisecond,
 		Patience:    0.6,
 		RetryRatio:  0.2,
--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -136,7 +136,7 @@
 	o.read = time.Duration(float64(o.unread) / t.ReadRate * float64(time.Millisecond))
 	o.cost = o.read + max(0, e.readUntil.Sub(now))
 	o.cost += time.Duration(float64(len(e.running)) / float64(engine.Slots) * float64(batchCost))
-	o.cost += e.pauseCost(a, o.read, now)
+	o.cost += e.pauseCost(a, o.read, t.strain(a.Service), now)
 	o.cost += time.Duration(e.trouble.now(now) * float64(troubleCost))
 	if e.entry.Domain != a.Domain {
 		o.cost += t.CrossDomain
@@ -191,6 +191,10 @@
 		wait = time.Duration(float64(wait) * t.FastLoad)
 	} else {
 		o.cost += t.LoadCost
+		if t.copies[a.Ref] > 0 {
+			// A further copy takes a place from another adapter.
+			o.cost += time.Duration(t.pressures[a.Service].now * float64(t.CopyCost))
+		}
 	}
 	o.wait = wait
 	o.cost += wait
@@ -232,13 +236,22 @@
 
 // storeBusy reports whether another load from the store would slow all of them.
 func (t *Authority) storeBusy() bool {
-	return float64(t.fetching) >= max(minKnee, t.StoreKnee*float64(t.ready))
+	return float64(t.fetching) >= t.knee()
 }
 
+// knee is the number of loads at once above which all of them take longer.
+func (t *Authority) knee() float64 { return max(minKnee, t.StoreKnee*float64(t.ready)) }
+
 // countLoads counts the loads under way.
 func (t *Authority) countLoads(now ident.Time) {
 	t.fetching, t.ready = 0, 0
+	clear(t.copies)
 	for _, e := range t.engines {
+		for ref, s := range e.slots {
+			if !s.leaving {
+				t.copies[ref]++
+			}
+		}
 		_, stored := e.transit(now)
 		t.fetching += stored
 		if e.entry.State == census.Ready {
--- a/core/grant/sim_test.go
+++ b/core/grant/sim_test.go
@@ -188,7 +188,10 @@
 	s.asked++
 	s.nextID++
 	a.ID, a.Request = grant.ID(fmt.Sprintf("%s/%d", s.t.Name(), s.nextID)), fmt.Sprint(s.nextID)
-	a.Domain, a.Service, a.Output, a.Target, a.Left = "north", service, 100, time.Second, 5*time.Second
+	a.Domain, a.Service, a.Target, a.Left = "north", service, time.Second, 5*time.Second
+	if a.Output == 0 {
+		a.Output = 100
+	}
 	s.send(a, s.now)
 }
 
--- a/io/front/ask.go
+++ b/io/front/ask.go
@@ -192,13 +192,13 @@
 }
 
 // release gives a place back with how the request ended there.
-func (f *Front) release(q *ask, o grant.Outcome, first time.Duration) {
+func (f *Front) release(q *ask, o grant.Outcome, first, gap time.Duration) {
 	f.mu.Lock()
 	delete(f.asks, q.ask.ID)
 	leader := f.leader
 	f.mu.Unlock()
 	if leader != "" && !q.alone {
-		f.mesh.Send(leader, link.Message{End: &grant.End{ID: q.ask.ID, Outcome: o, First: first}})
+		f.mesh.Send(leader, link.Message{End: &grant.End{ID: q.ask.ID, Outcome: o, First: first, Gap: gap}})
 	}
 	f.Meter.Count("shallotgap_places_total", "outcome", outcomeName(o))
 }
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -95,12 +95,12 @@
 		answer.Abort()
 		x.sent = true
 		x.note("send", p.Instance.ID, "stray-answer", "genuine="+strconv.FormatBool(v.Genuine))
-		x.release(q, grant.Failed, 0)
+		x.release(q, grant.Failed, 0, 0)
 		return broken
 	case v.NotRun:
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxRefusal))
 		x.note("send", p.Instance.ID, "not-run", http.StatusText(answer.StatusCode))
-		x.release(q, grant.NotRun, 0)
+		x.release(q, grant.NotRun, 0, 0)
 		return refill
 	}
 	x.sent = true
@@ -115,18 +115,18 @@
 	}
 	switch {
 	case err == nil:
-		x.release(q, grant.Served, first)
+		x.release(q, grant.Served, first, flow.gap)
 		x.Meter.Time("shallotgap_first_event_seconds", flow.firstAt.Sub(x.began))
 		x.note("end", p.Instance.ID, "served", fmt.Sprintf("first=%dms gap=%dms prompt=%d", flow.firstAt.Sub(x.began).Milliseconds(), flow.gap.Milliseconds(), x.call.Prompt))
 		return done
 	case ctx.Err() != nil:
 		answer.Abort()
-		x.release(q, grant.Cancelled, first)
+		x.release(q, grant.Cancelled, first, 0)
 		return broken
 	}
 	answer.Abort()
 	x.note("send", p.Instance.ID, "broken", err.Error())
-	x.release(q, grant.Failed, first)
+	x.release(q, grant.Failed, first, 0)
 	return broken
 }
 
@@ -155,22 +155,22 @@
 	switch {
 	case ctx.Err() != nil:
 		x.sent = x.sent || err.Sent
-		x.release(q, grant.Cancelled, 0)
+		x.release(q, grant.Cancelled, 0, 0)
 		return broken
 	case err.Sent:
 		x.sends++
 		x.sent = true
-		x.release(q, grant.Failed, 0)
+		x.release(q, grant.Failed, 0, 0)
 		return broken
 	}
-	x.release(q, grant.Unreachable, 0)
+	x.release(q, grant.Unreachable, 0, 0)
 	return refill
 }
 
 // failedAnswer passes an endpoint's own failure on, unless the stream can go on elsewhere.
 func (x *exchange) failedAnswer(q *ask, answer *dial.Answer, last bool) fate {
 	x.note("send", q.place.Instance.ID, "failed", http.StatusText(answer.StatusCode))
-	x.release(q, grant.Failed, 0)
+	x.release(q, grant.Failed, 0, 0)
 	if x.committed || !last {
 		answer.Abort()
 		return broken
