--- a/core/grant/models.go
+++ b/core/grant/models.go
@@ -41,7 +41,7 @@
 			continue
 		}
 		e.modelUntil = now.Add(m.LoadTime * loadSlack)
-		t.order(e, Order{Load: true, Ref: book.AdapterRef{Model: m.Name}, Cause: "engine without a model"}, now)
+		t.order(e, Order{Load: true, Ref: book.AdapterRef{Model: m.Name}, Cause: "engine without a model"})
 	}
 }
 
--- a/core/grant/orders.go
+++ b/core/grant/orders.go
@@ -12,7 +12,7 @@
 func (t *Authority) load(o option, w *waiter, now ident.Time) {
 	w.preparing = o.engine.entry.Instance.ID
 	if o.evict.Adapter != "" {
-		t.order(o.engine, Order{Ref: o.evict, Cause: "room for " + string(w.ask.Ref.Adapter)}, now)
+		t.order(o.engine, Order{Ref: o.evict, Cause: "room for " + string(w.ask.Ref.Adapter)})
 		return
 	}
 	v := t.newest[w.ask.Ref]
@@ -25,10 +25,10 @@
 	}
 	s.readyAt = now.Add(s.span)
 	o.engine.slots[w.ask.Ref] = s
-	t.order(o.engine, Order{Load: true, Ref: w.ask.Ref, Version: v, Cause: "request " + w.ask.Request}, now)
+	t.order(o.engine, Order{Load: true, Ref: w.ask.Ref, Version: v, Cause: "request " + w.ask.Request})
 }
 
-func (t *Authority) order(e *engine, o Order, now ident.Time) {
+func (t *Authority) order(e *engine, o Order) {
 	o.Instance, o.Address, o.Expect = e.entry.Instance, e.entry.Address, e.orders
 	e.ordering = true
 	if s := e.slots[o.Ref]; s != nil && !o.Load {
@@ -68,7 +68,7 @@
 		if o.Ref.Adapter == "" {
 			e.modelUntil = now
 		}
-		t.doubt(e, now.Add(t.reportLag()), "order "+r.String())
+		t.doubt(e, now.Add(reportAge), "order "+r.String())
 		if s != nil && o.Load && r != Unknown && !resent {
 			delete(e.slots, o.Ref)
 		}
@@ -86,7 +86,7 @@
 	}
 	if r == Accepted && !o.Load {
 		// The engine waits for runs of the adapter; its report tells when it is dropped.
-		t.doubt(e, now.Add(t.reportLag()), "drops an adapter in use")
+		t.doubt(e, now.Add(reportAge), "drops an adapter in use")
 	}
 	t.out.Notes = append(t.out.Notes, Note{Step: "ordered", Endpoint: o.Instance.ID, Outcome: r.String(), Inputs: fmt.Sprintf("adapter=%s load=%t expect=%d", o.Ref.Adapter, o.Load, o.Expect)})
 }
@@ -94,9 +94,6 @@
 // maxResends is how often an order without an answer is sent again at once.
 const maxResends = 3
 
-// reportLag is the age that an engine's report may have.
-func (t *Authority) reportLag() time.Duration { return reportAge }
-
 // reportAge: reports show the state of some hundred ms earlier.
 const reportAge = 300 * time.Millisecond
 
@@ -123,7 +120,7 @@
 			s := e.slots[ref]
 			s.version, s.readyAt, s.span, s.stored, s.loadedAt, s.misses = v, now.Add(t.AdapterLoad), t.AdapterLoad, true, now, 0
 			s.placed, s.proved, s.probe = false, false, ""
-			t.order(e, Order{Load: true, Ref: ref, Version: v, Cause: "newer version"}, now)
+			t.order(e, Order{Load: true, Ref: ref, Version: v, Cause: "newer version"})
 		}
 	}
 }
--- a/core/grant/params.go
+++ b/core/grant/params.go
@@ -50,7 +50,7 @@
 		LoadCost:    300 * time.Millisecond,
 		CopyCost:    900 * time.Millisecond, // most of a target of 1 s
 		CrossDomain: 4 * time.Millisecond,   // a round trip
-		Settle:      600 * time.Millisecond,
+		Settle:      250 * time.Millisecond, // entry hosts tell within some round trips of a status
 		Patience:    0.6,
 		RetryRatio:  0.2,
 		RetryExtra:  20,
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -162,7 +162,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			v.tick(ctx)
+			v.tick()
 		case f := <-v.inbox:
 			// The clock first: a host that was suspended must not act on a lease that is over.
 			v.node.Tick(clock.Boot())
@@ -195,7 +195,7 @@
 	}
 }
 
-func (v *Voter) tick(ctx context.Context) {
+func (v *Voter) tick() {
 	now := clock.Boot()
 	v.node.Tick(now)
 	v.census.Expire(now)
