Tell a new authority where adapters were served lately

Cause: an engine brings an adapter back ten times as fast as the store does, but which engine held what was known to the former authority only. Change: entry hosts keep for 30 s where each adapter was last served, and tell it with the places in use. Test: core/grant AuthorityRemembersEngines.

--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -151,6 +151,14 @@
 	t.forget(l.Ask.ID)
 }
 
+// Remember takes where an adapter was served before this authority began: an engine that dropped it since loads it faster.
+func (t *Authority) Remember(h Held) {
+	e := t.engines[h.Instance.ID]
+	if e != nil && e.entry.Instance == h.Instance && e.slots[h.Ref] == nil && h.Ref.Adapter != "" {
+		e.dropped.add(h.Ref)
+	}
+}
+
 // Withdraw forgets an ask whose caller left.
 func (t *Authority) Withdraw(id ID) { t.forget(id) }
 
--- a/core/grant/grant.go
+++ b/core/grant/grant.go
@@ -104,6 +104,12 @@
 	Instance ident.Instance `json:"instance"`
 }
 
+// Held is an adapter that an engine was seen to hold.
+type Held struct {
+	Ref      book.AdapterRef `json:"ref"`
+	Instance ident.Instance  `json:"instance"`
+}
+
 // Order is a command to an engine.
 type Order struct {
 	Instance ident.Instance
--- a/core/grant/load_test.go
+++ b/core/grant/load_test.go
@@ -199,3 +199,18 @@
 	s.check()
 	assert.Assert(t, s.served >= s.asked*85/100, "served %d of %d, refused %v", s.served, s.asked, s.causes)
 }
+
+// A new authority has an adapter loaded where entry hosts saw it before, as the engine brings it back faster.
+func TestAuthorityRemembersEngines(t *testing.T) {
+	for _, id := range []ident.EndpointID{"e0", "e2", "e3"} {
+		t.Run(string(id), func(t *testing.T) {
+			s := newSim(t, 4)
+			s.run(time.Second)
+			ref := book.AdapterRef{Model: "base", Adapter: "a1"}
+			s.auth.Remember(grant.Held{Ref: ref, Instance: s.engines[id].entry.Instance})
+			s.ask("a1", 0)
+			s.run(time.Second)
+			assert.Assert(t, s.engines[id].adapters["a1"] != nil, "loaded elsewhere")
+		})
+	}
+}
--- a/io/front/ask.go
+++ b/io/front/ask.go
@@ -19,6 +19,8 @@
 	// aloneAfter is how long no authority may answer before this host sends to where the adapter was served last:
 	// the shortest election and a round trip.
 	aloneAfter = 600 * time.Millisecond
+	// aloneLife is how long it is remembered where an adapter was served; engines remember about as many loads.
+	aloneLife = 30 * time.Second
 	// authorityPart is the part of a request's time for which it waits while no authority answers.
 	authorityPart = 3
 	// authorityPause is the pause for callers that are turned away then: an election and a round of links.
@@ -35,6 +37,21 @@
 	reply chan grant.Reply
 }
 
+// served is where an adapter was served, and when.
+type served struct {
+	place grant.Place
+	at    ident.Time
+}
+
+// forgetServed drops what is too old to be of use. The caller holds the lock.
+func (f *Front) forgetServed(now ident.Time) {
+	for ref, s := range f.lately {
+		if now.Sub(s.at) > aloneLife {
+			delete(f.lately, ref)
+		}
+	}
+}
+
 // acquire asks the authority for a place and waits for it.
 func (f *Front) acquire(ctx context.Context, a grant.Ask) (*ask, grant.Reply) {
 	q := f.open(a)
@@ -106,7 +123,7 @@
 			return
 		}
 		q.place = r.Place
-		f.lately[q.ask.Ref] = *r.Place
+		f.lately[q.ask.Ref] = served{place: *r.Place, at: clock.Boot()}
 	}
 	f.mu.Unlock()
 	switch {
@@ -141,6 +158,9 @@
 		a.Left -= clock.Boot().Sub(q.at)
 		live.Places = append(live.Places, grant.Live{Ask: a, Instance: q.place.Instance})
 	}
+	for ref, s := range f.lately {
+		live.Lately = append(live.Lately, grant.Held{Ref: ref, Instance: s.place.Instance})
+	}
 	f.mu.Unlock()
 	f.mesh.Send(to, link.Message{Live: &live})
 	for _, q := range open {
@@ -156,7 +176,8 @@
 	if f.leader != "" || q.place != nil || q.ask.Sends > 0 || clock.Boot().Sub(q.at) < aloneAfter {
 		return grant.Reply{}, false
 	}
-	p, known := f.lately[q.ask.Ref]
+	s, known := f.lately[q.ask.Ref]
+	p := s.place
 	if !known {
 		return grant.Reply{}, false
 	}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -125,7 +125,7 @@
 	term    ident.Term
 	entries int // ready entry hosts, as the control hosts say
 	asks    map[grant.ID]*ask
-	lately  map[book.AdapterRef]grant.Place // where each adapter was last served
+	lately  map[book.AdapterRef]served // where each adapter was last served
 	budgets map[ident.Service]*grant.Budget
 	seq     uint64
 	born    ident.Time
@@ -136,7 +136,7 @@
 	f := &Front{
 		Common: common, Config: c, Meter: meter, client: dial.New(), loaded: make(chan struct{}), census: census.New(forgetAfter), picker: pick.New(c.Domain),
 		newest: map[book.AdapterRef]book.Weights{}, control: map[ident.HostID]link.Status{}, asks: map[grant.ID]*ask{},
-		lately: map[book.AdapterRef]grant.Place{}, budgets: map[ident.Service]*grant.Budget{}, born: clock.Boot(), entries: 1,
+		lately: map[book.AdapterRef]served{}, budgets: map[ident.Service]*grant.Budget{}, born: clock.Boot(), entries: 1,
 	}
 	f.router.Store(layout.NewRouter(nil))
 	f.mesh = link.New(common, link.Config{Self: link.Hello{Host: c.Self, Domain: c.Domain}, Handler: f, Greeting: f.greeting})
@@ -172,6 +172,7 @@
 	defer f.mu.Unlock()
 	f.census.Expire(now)
 	f.picker.Forget(now.Add(-forgetAfter))
+	f.forgetServed(now)
 }
 
 // Ready reports whether callers may be sent here.
--- a/io/voter/lead.go
+++ b/io/voter/lead.go
@@ -85,6 +85,9 @@
 		for _, l := range m.Live.Places {
 			v.lead.authority.Resume(l, now)
 		}
+		for _, h := range m.Live.Lately {
+			v.lead.authority.Remember(h)
+		}
 	}
 }
 
