--- a/io/logs/bounded.go
+++ b/io/logs/bounded.go
@@ -38,6 +38,9 @@
 	return len(p), nil
 }
 
+// Dropped returns how many lines were dropped since that was last told in the log.
+func (b *Bounded) Dropped() int64 { return b.dropped.Load() }
+
 func (b *Bounded) run(w io.Writer) {
 	tick := time.NewTicker(reportEvery)
 	defer tick.Stop()
--- a/io/texts/examples.go
+++ b/io/texts/examples.go
@@ -12,6 +12,8 @@
 // examples are shown below the help of a command.
 var examples = map[string]string{
 	"serve": "shallotgap serve /etc/shallotgap/e1.ini",
+	"platform": `shallotgap platform
+shallotgap platform --log-level debug --metrics 9464`,
 	"check": "shallotgap check /etc/shallotgap/e1.ini",
 	"table": `shallotgap table put dairy feed-advice@v1 --weight 2 --wait
 shallotgap table export >rows.csv`,
--- a/io/texts/texts.go
+++ b/io/texts/texts.go
@@ -5,6 +5,14 @@
 
 // Titles explain the reasons of refusals to callers.
 var Titles = map[work.Reason]string{
+	"bad-json":          "The body is not valid JSON, or a field has another type.",
+	"bad-model":         "The model is missing or not of the form adapter@version.",
+	"bad-timeout":       "The timeout is not a duration above 0.",
+	"bad-urgency":       "The urgency is not one of those known.",
+	"bad-key":           "The Idempotency-Key is too long or holds characters that it may not.",
+	"bad-deadline":      "The deadline is not a time in the future.",
+	"bad-body":          "The body could not be read.",
+	"too-large":         "The body is larger than a request may be.",
 	work.NoLease:        "This host may not serve at the moment; use another entry host.",
 	work.UnknownAdapter: "No row lets this workspace run this adapter and version.",
 	work.NoEndpoint:     "No endpoint can take the request at the moment.",
--- a/io/texts/texts_test.go
+++ b/io/texts/texts_test.go
@@ -72,3 +72,10 @@
 	})
 	return list
 }
+
+// Each reason for which a caller's request is turned away at the edge is explained.
+func TestEdgeReasonsHaveTitles(t *testing.T) {
+	for _, r := range []work.Reason{"bad-json", "bad-model", "bad-timeout", "bad-urgency", "bad-key", "bad-deadline", "bad-body", "too-large"} {
+		assert.Assert(t, Titles[r] != "", "%s has no title", r)
+	}
+}
