Keep engines' heartbeats among control hosts; count by change; encode once for all links

Each step of the authority counted all places of all engines; each change of an endpoint was encoded for each of 300 links; every host was told of every engine. Change: copies are counted ten times a second, loads as they begin and end, engines looked at each 5 ms; a message to all is encoded once; entry hosts are told of plain endpoints and of engines that leave.

--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -28,11 +28,12 @@
 	// copies counts the engines that hold each adapter, as of this step.
 	copies map[book.AdapterRef]int
 	// fetching is the number of loads from the store under way, ready that of engines, as of this step.
-	fetching, ready int
-	loads           int // from the store, so far
-	expiredAt       ident.Time
-	placed          map[ID]ident.EndpointID
-	budgets         map[ident.Service]*Budget
+	fetching, ready      int
+	loads                int     // from the store, so far
+	underWay             []*slot // loads from the store
+	expiredAt, scannedAt ident.Time
+	placed               map[ID]ident.EndpointID
+	budgets              map[ident.Service]*Budget
 	// modelLoads are the times of the latest loads of base models.
 	modelLoads map[ident.Service][]ident.Time
 	pressures  map[ident.Service]pressure
@@ -279,14 +280,18 @@
 	if now.Sub(t.expiredAt) >= expireEvery {
 		t.expiredAt = now
 		t.expire(now)
+		t.countCopies()
 		if t.layout != nil {
 			t.measurePressure(now)
 		}
 	}
+	if now.Sub(t.scannedAt) >= scanEvery {
+		t.scannedAt = now
+		t.askReports(now)
+		t.placeModels(now)
+		t.followVersions(now)
+	}
 	t.countLoads(now)
-	t.askReports(now)
-	t.placeModels(now)
-	t.followVersions(now)
 	for _, w := range t.queue(now) {
 		t.serve(w, now)
 	}
@@ -319,6 +324,7 @@
 	endSlack    = 2 * time.Second // an entry host reports an end within a second of the deadline
 	forgetAfter = 30 * time.Second
 	expireEvery = 100 * time.Millisecond
+	scanEvery   = 5 * time.Millisecond // of all engines; events come far more often
 )
 
 // askReports asks the engines whose state is not known.
--- a/core/grant/orders.go
+++ b/core/grant/orders.go
@@ -16,12 +16,11 @@
 		return
 	}
 	v := t.newest[w.ask.Ref]
-	if o.stored {
-		t.fetching++
-	}
 	s := &slot{version: v, span: o.wait, stored: o.stored, usedAt: now, loadedAt: now}
 	if o.stored {
 		s.span, s.early = t.loadSpan()
+		t.underWay = append(t.underWay, s)
+		t.fetching++
 	}
 	s.readyAt = now.Add(s.span)
 	o.engine.slots[w.ask.Ref] = s
@@ -119,6 +118,7 @@
 			v := t.newest[ref]
 			s := e.slots[ref]
 			s.version, s.readyAt, s.span, s.stored, s.loadedAt, s.misses = v, now.Add(t.AdapterLoad), t.AdapterLoad, true, now, 0
+			t.underWay = append(t.underWay, s)
 			s.placed, s.proved, s.probe = false, false, ""
 			t.order(e, Order{Load: true, Ref: ref, Version: v, Cause: "newer version"})
 		}
--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -242,21 +242,25 @@
 // knee is the number of loads at once above which all of them take longer.
 func (t *Authority) knee() float64 { return max(minKnee, t.StoreKnee*float64(t.ready)) }
 
-// countLoads counts the loads under way.
+// countLoads counts the loads from the store under way.
 func (t *Authority) countLoads(now ident.Time) {
-	t.fetching, t.ready = 0, 0
+	t.underWay = slices.DeleteFunc(t.underWay, func(s *slot) bool { return s.readyAt <= now })
+	t.fetching = len(t.underWay)
+}
+
+// countCopies counts the engines and what they hold.
+func (t *Authority) countCopies() {
+	t.ready = 0
 	clear(t.copies)
 	for _, e := range t.engines {
+		if e.entry.State == census.Ready {
+			t.ready++
+		}
 		for ref, s := range e.slots {
 			if !s.leaving {
 				t.copies[ref]++
 			}
 		}
-		_, stored := e.transit(now)
-		t.fetching += stored
-		if e.entry.State == census.Ready {
-			t.ready++
-		}
 	}
 }
 
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"github.com/ugorji/go/codec"
 )
@@ -36,3 +37,27 @@
 	}
 	return nil
 }
+
+// List returns the CBOR form of a list from the forms of its items.
+func List(items [][]byte) []byte {
+	size := listHeader
+	for _, x := range items {
+		size += len(x)
+	}
+	out := make([]byte, 0, size)
+	switch n := len(items); {
+	case n <= 23:
+		out = append(out, 0x80|byte(n))
+	case n <= math.MaxUint8:
+		out = append(out, 0x98, byte(n))
+	default:
+		out = append(out, 0x9a, byte(n>>24), byte(n>>16), byte(n>>8), byte(n))
+	}
+	for _, x := range items {
+		out = append(out, x...)
+	}
+	return out
+}
+
+// listHeader is the longest head of a list in bytes.
+const listHeader = 5
--- a/io/front/ask.go
+++ b/io/front/ask.go
@@ -182,7 +182,7 @@
 		return grant.Reply{}, false
 	}
 	e, there := f.census.Get(p.Instance.ID)
-	if !there || e.Instance != p.Instance || e.State != census.Ready {
+	if there && (e.Instance != p.Instance || e.State != census.Ready) {
 		return grant.Reply{}, false
 	}
 	p.Version = max(p.Version, f.newest[q.ask.Ref])
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -21,7 +21,7 @@
 type conn struct {
 	ws     *websocket.Conn
 	peer   Hello
-	out    chan Message
+	out    chan []byte // encoded messages
 	closed chan struct{}
 	once   sync.Once
 	heard  atomic.Int64
@@ -30,12 +30,12 @@
 var errNoHello = errors.New("the first message is not an introduction")
 
 func newConn(ws *websocket.Conn) *conn {
-	c := &conn{ws: ws, out: make(chan Message, queueLength), closed: make(chan struct{})}
+	c := &conn{ws: ws, out: make(chan []byte, queueLength), closed: make(chan struct{})}
 	c.heard.Store(int64(clock.Boot()))
 	return c
 }
 
-func (c *conn) queue(m Message) bool {
+func (c *conn) queue(m []byte) bool {
 	select {
 	case c.out <- m:
 		return true
@@ -57,7 +57,7 @@
 	ping := time.NewTicker(PingEvery)
 	defer ping.Stop()
 	for {
-		var batch []Message
+		var batch [][]byte
 		select {
 		case <-ctx.Done():
 			return
@@ -74,7 +74,7 @@
 }
 
 // gather adds the messages that wait, in order.
-func (c *conn) gather(batch []Message) []Message {
+func (c *conn) gather(batch [][]byte) [][]byte {
 	for len(batch) < batchLength {
 		select {
 		case m := <-c.out:
@@ -86,11 +86,8 @@
 	return batch
 }
 
-func (c *conn) send(ctx context.Context, batch []Message) error {
-	data, err := wire.Marshal(batch)
-	if err != nil {
-		return err
-	}
+func (c *conn) send(ctx context.Context, batch [][]byte) error {
+	data := wire.List(batch)
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	return c.ws.Write(ctx, websocket.MessageBinary, data)
--- a/io/link/mesh.go
+++ b/io/link/mesh.go
@@ -11,6 +11,7 @@
 	"github.com/coder/websocket"
 
 	"shallotgap/core/ident"
+	"shallotgap/core/wire"
 	"shallotgap/io/logs"
 )
 
@@ -41,7 +42,6 @@
 	targets map[ident.HostID]context.CancelFunc
 	ctx     context.Context
 	running sync.WaitGroup
-	dropped int
 }
 
 // New returns a mesh without links.
@@ -109,20 +109,31 @@
 	if c == nil {
 		return false
 	}
-	if !c.queue(msg) {
-		m.mu.Lock()
-		m.dropped++
-		m.mu.Unlock()
-		return false
+	data, ok := m.encode(msg)
+	return ok && c.queue(data)
+}
+
+// encode returns the form of a message on a link.
+func (m *Mesh) encode(msg Message) ([]byte, bool) {
+	data, err := wire.Marshal(msg)
+	if err != nil {
+		m.Log.WithField("step", "send").WithError(err).Error("bad-message")
+		return nil, false
 	}
-	return true
+	return data, true
 }
 
-// SendAll queues a message for every linked host for which choose returns true.
+// SendAll encodes a message once and queues it for every linked host for which choose returns true.
 func (m *Mesh) SendAll(msg Message, choose func(Hello) bool) {
-	for _, h := range m.Linked() {
-		if choose(h) {
-			m.Send(h.Host, msg)
+	data, ok := m.encode(msg)
+	if !ok {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range m.links {
+		if choose(c.peer) {
+			c.queue(data)
 		}
 	}
 }
@@ -209,10 +220,13 @@
 	c := newConn(ws)
 	defer c.close()
 	ws.SetReadLimit(maxMessage)
-	c.queue(Message{Hello: &m.Self})
+	first := []Message{{Hello: &m.Self}}
 	if m.Greeting != nil {
-		for _, msg := range m.Greeting() {
-			c.queue(msg)
+		first = append(first, m.Greeting()...)
+	}
+	for _, msg := range first {
+		if data, ok := m.encode(msg); ok {
+			c.queue(data)
 		}
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/io/voter/log.go
+++ b/io/voter/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"reflect"
 	"sync"
 	"time"
 
@@ -84,6 +85,7 @@
 	log := v.Log.WithField("step", "apply").WithField("index", index)
 	if c.Layout != nil {
 		v.noteLayout(past)
+		v.tellServices(past)
 		log.WithField("version", c.Layout.Version).WithField("routes", len(c.Layout.Routes)).Info("layout")
 	} else {
 		log.WithField("model", c.Newest.Of.Model).WithField("adapter", c.Newest.Of.Adapter).WithField("version", c.Newest.Version).Info("newest")
@@ -98,6 +100,16 @@
 	}
 }
 
+// tellServices tells entry hosts of the endpoints of services that the layout has brought.
+func (v *Voter) tellServices(past []*layout.Layout) {
+	if len(past) > 0 && reflect.DeepEqual(past[0].Services, v.book.Layout.Services) {
+		return
+	}
+	if list := v.forEntries(v.census.List()); len(list) > 0 {
+		v.mesh.SendAll(link.Message{Census: list}, func(h link.Hello) bool { return !h.Control })
+	}
+}
+
 // compact replaces the log by a snapshot when it has grown.
 func (v *Voter) compact() {
 	if v.node.Length() < compactAt && v.sinceCut < compactOver {
--- a/io/voter/status.go
+++ b/io/voter/status.go
@@ -182,28 +182,31 @@
 		WithField("state", e.State).WithField("address", e.Address).WithField("service", e.Service).WithField("outcome", outcome).Info("endpoint")
 }
 
-// spread tells all linked hosts of a change.
-func (v *Voter) spread(e census.Entry) {
-	v.mesh.SendAll(link.Message{Census: []census.Entry{e}}, func(h link.Hello) bool { return h.Control })
-	e.Held, e.Models = nil, nil
-	v.mesh.SendAll(link.Message{Census: []census.Entry{e}}, func(h link.Hello) bool { return !h.Control })
-}
-
-// forPeer leaves out what only control hosts need.
-func (v *Voter) forPeer(list []census.Entry, peer link.Hello) []census.Entry {
-	if !peer.Control {
-		for i := range list {
-			list[i].Held, list[i].Models = nil, nil
-		}
+// spread has all linked hosts told of a change with the next tick.
+func (v *Voter) spread(e census.Entry) { v.changed = append(v.changed, e) }
+
+// flushCensus tells the other hosts what endpoints said since the last tick: control hosts all of it, entry hosts the
+// changes that matter to them.
+func (v *Voter) flushCensus() {
+	if list := append(v.changed, v.beats...); len(list) > 0 {
+		v.mesh.SendAll(link.Message{Census: list}, func(h link.Hello) bool { return h.Control })
 	}
-	return list
+	if list := v.forEntries(v.changed); len(list) > 0 {
+		v.mesh.SendAll(link.Message{Census: list}, func(h link.Hello) bool { return !h.Control })
+	}
+	v.changed, v.beats = nil, nil
 }
 
-// flushBeats tells the other control hosts of the heartbeats that changed nothing.
-func (v *Voter) flushBeats() {
-	if len(v.beats) == 0 {
-		return
+// forEntries returns what entry hosts need: the endpoints of plain services, which they choose themselves, and the engines
+// that leave. What engines hold and that they are ready is the authority's to know.
+func (v *Voter) forEntries(list []census.Entry) []census.Entry {
+	var out []census.Entry
+	for _, e := range list {
+		s, known := v.book.Layout.Service(e.Service)
+		if (known && s.Engine == nil) || e.State != census.Ready {
+			e.Held, e.Models = nil, nil
+			out = append(out, e)
+		}
 	}
-	v.mesh.SendAll(link.Message{Census: v.beats}, func(h link.Hello) bool { return h.Control })
-	v.beats = nil
+	return out
 }
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -93,6 +93,8 @@
 	lastTerm ident.Term
 	ordered  ident.Time // when this host last ordered under an earlier term
 	beats    []census.Entry
+	// changed are the endpoints that the other hosts are to be told of.
+	changed  []census.Entry
 	stopping bool
 	statusAt ident.Time
 	versions []layout.Change // latest changes, for hosts that are a version behind
@@ -199,7 +201,7 @@
 	now := clock.Boot()
 	v.node.Tick(now)
 	v.census.Expire(now)
-	v.flushBeats()
+	v.flushCensus()
 	v.calls.expire(now)
 	v.passCalls()
 	if late := v.disk.late(now); late > slowDisk && v.node.Role() == quorum.Leader {
@@ -265,8 +267,12 @@
 			v.mesh.Target(peer.Host)
 			v.addContact(peer.Host)
 		}
-		if list := v.census.List(); len(list) > 0 {
-			v.mesh.Send(peer.Host, link.Message{Census: v.forPeer(list, peer)})
+		list := v.census.List()
+		if !peer.Control {
+			list = v.forEntries(list)
+		}
+		if len(list) > 0 {
+			v.mesh.Send(peer.Host, link.Message{Census: list})
 		}
 		v.mesh.Send(peer.Host, link.Message{Status: v.status()})
 	})
