Turn away what a stopping host may have to cut

Ruled out: the listener (closed at 3.2 s), the engine (ran until the cut). Change: from 2.5 s after the signal on, a request whose own limit lies beyond the end is refused with the time to come back; short ones are taken to the end.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -108,11 +108,11 @@
 	// Server is where callers' requests come in; it is set before the host drains.
 	Server *http.Server
 
-	mesh     *link.Mesh
-	client   *dial.Client
-	router   atomic.Pointer[layout.Router]
-	loaded   chan struct{} // closed once there is a layout
-	draining atomic.Bool
+	mesh   *link.Mesh
+	client *dial.Client
+	router atomic.Pointer[layout.Router]
+	loaded chan struct{}        // closed once there is a layout
+	stop   atomic.Pointer[Stop] // nil until the host is told to end
 
 	mu      sync.Mutex
 	census  *census.Census
@@ -176,16 +176,7 @@
 }
 
 // Ready reports whether callers may be sent here.
-func (f *Front) Ready() bool { return f.router.Load().Layout != nil && !f.draining.Load() }
-
-// Drain tells the control hosts that callers should go elsewhere.
-func (f *Front) Drain() {
-	f.draining.Store(true)
-	f.sayPresence()
-}
-
-// Draining reports whether the host is to stop.
-func (f *Front) Draining() bool { return f.draining.Load() }
+func (f *Front) Ready() bool { return f.router.Load().Layout != nil && !f.Draining() }
 
 // Reseed takes other control hosts to begin with.
 func (f *Front) Reseed(seeds []ident.HostID) {
--- a/io/front/serve.go
+++ b/io/front/serve.go
@@ -50,6 +50,10 @@
 		left = min(left, x.call.Deadline)
 	}
 	x.end = x.began.Add(left - answerMargin)
+	if x.outlasts() {
+		x.refuse(http.StatusServiceUnavailable, "stopping", stopPause)
+		return
+	}
 	ctx, cancel := context.WithTimeoutCause(r.Context(), x.end.Sub(clock.Boot()), errTimeUp)
 	defer cancel()
 	if x.service.Engine != nil && x.call.Ref.Model != "" {
--- /dev/null
+++ b/io/front/stop.go
@@ -0,0 +1,38 @@
+package front
+
+import (
+	"time"
+
+	"shallotgap/core/ident"
+	"shallotgap/io/clock"
+)
+
+// Stop tells when a host that was told to end takes and cuts requests.
+type Stop struct {
+	// LongUntil is until when requests are taken that may outlast the end.
+	LongUntil ident.Time
+	// End is when what still runs is cut.
+	End ident.Time
+}
+
+// takes reports whether a request that may take so long is taken at the given time.
+func (s *Stop) takes(now ident.Time, need time.Duration) bool {
+	return s == nil || now < s.LongUntil || now.Add(need) <= s.End
+}
+
+// Drain tells the control hosts that callers should go elsewhere, and bounds what is still taken here.
+func (f *Front) Drain(s Stop) {
+	f.stop.Store(&s)
+	f.sayPresence()
+}
+
+// Draining reports whether the host is to stop.
+func (f *Front) Draining() bool { return f.stop.Load() != nil }
+
+// stopPause is the pause for callers that a stopping host turns away: they go to another host at once.
+const stopPause = 10 * time.Millisecond
+
+// outlasts reports whether a request may not have ended when this host does.
+func (x *exchange) outlasts() bool {
+	return !x.stop.Load().takes(clock.Boot(), x.left())
+}
--- a/io/site/stop.go
+++ b/io/site/stop.go
@@ -6,6 +6,9 @@
 	"log"
 	"os"
 	"time"
+
+	"shallotgap/io/clock"
+	"shallotgap/io/front"
 )
 
 // Times of stopping.
@@ -13,6 +16,9 @@
 	// callersGone is how long a host that stops still takes connections: most callers have asked for new addresses by
 	// then, and the others find the port closed and go to another address.
 	callersGone = addressLife + 1200*time.Millisecond
+	// longUntil is how long a host that stops takes requests that may outlast its grace: the platform takes their end for the
+	// stop's when they came within 3 s of the signal, and half a second is left for the way.
+	longUntil = 2500 * time.Millisecond
 	// endMargin is how long before the end of the grace the last answers are cut.
 	endMargin = 400 * time.Millisecond
 	// leaderGone is how long a control host that stops goes on answering while the others elect a leader.
@@ -33,7 +39,8 @@
 	if h.front == nil {
 		return
 	}
-	h.front.Drain()
+	now := clock.Boot()
+	h.front.Drain(front.Stop{LongUntil: now.Add(min(longUntil, h.Grace/2)), End: now.Add(h.Grace - endMargin)})
 	pause(ctx, min(callersGone, h.Grace/2)-time.Since(begun))
 	ctx, cancel := context.WithTimeout(ctx, h.Grace-endMargin-time.Since(begun))
 	defer cancel()
