Serve what heartbeats list before engines report, and ask few of them at once

Ruled out: the election (next acknowledgement 3.0 to 3.1 s after a kill at all three sizes). Change: what an engine's heartbeat lists is enough to send requests there, only orders wait for its report; at most 48 engines are asked at once. Parts that nothing used are gone.

--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -25,6 +25,8 @@
 	sorted []*engine
 	// wants counts the waiting requests for each adapter.
 	wants map[book.AdapterRef]int
+	// asking is the number of reports on their way.
+	asking int
 	// copies counts the engines that hold each adapter, as of this step.
 	copies map[book.AdapterRef]int
 	// fetching is the number of loads from the store under way, ready that of engines, as of this step.
@@ -147,7 +149,7 @@
 	if e == nil || e.entry.Instance != l.Instance || e.running[l.Ask.ID] != nil {
 		return
 	}
-	e.start(l.Ask, 0, now, 0, 0)
+	e.start(l.Ask, now, 0, 0)
 	t.placed[l.Ask.ID] = l.Instance.ID
 	t.forget(l.Ask.ID)
 }
@@ -330,21 +332,43 @@
 // askReports asks the engines whose state is not known.
 func (t *Authority) askReports(now ident.Time) {
 	for _, e := range t.inOrder() {
-		if e.known || e.ordering || !e.usable(now, t.Params) || now < e.reportAt || now.Sub(e.askedAt) < reportEvery {
+		if t.asking >= maxAsking {
+			return
+		}
+		if e.asking || e.known || e.ordering || !e.usable(now, t.Params) || now < e.reportAt || now.Sub(e.askedAt) < reportEvery {
 			continue
 		}
-		e.askedAt = now
+		e.askedAt, e.asking = now, true
+		t.asking++
 		t.out.Reports = append(t.out.Reports, Target{Instance: e.entry.Instance, Address: e.entry.Address})
 	}
 }
 
+// Unreported takes that an engine gave no report.
+func (t *Authority) Unreported(i ident.Instance) { t.asked(i) }
+
+// asked ends the question to an engine and returns the engine, or nil when it has gone meanwhile.
+func (t *Authority) asked(i ident.Instance) *engine {
+	t.asking = max(0, t.asking-1)
+	e := t.engines[i.ID]
+	if e == nil || e.entry.Instance != i {
+		return nil
+	}
+	e.asking = false
+	return e
+}
+
+// maxAsking is the number of engines that are asked at once: after an election all of them have to be, and their answers
+// must come within the timeout of a question.
+const maxAsking = 48
+
 // reportEvery is the pause between two questions to one engine; its answers are some hundred ms old.
 const reportEvery = 400 * time.Millisecond
 
 // Reported takes an engine's report; it is ignored when an order was given meanwhile.
 func (t *Authority) Reported(i ident.Instance, r Report, now ident.Time) {
-	e := t.engines[i.ID]
-	if e == nil || e.entry.Instance != i || e.ordering || e.orderAt > e.askedAt {
+	e := t.asked(i)
+	if e == nil || e.ordering || e.orderAt > e.askedAt {
 		return
 	}
 	e.learn(r, now, t.Params)
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -16,6 +16,7 @@
 	// result is not clear.
 	known    bool
 	askedAt  ident.Time // when its report was last asked for
+	asking   bool       // its report is on the way
 	reportAt ident.Time // not before this
 	ordering bool       // an order is under way
 	orders   uint64     // accepted by the engine so far
@@ -62,16 +63,20 @@
 
 // run is a request on an engine.
 type run struct {
-	ask     Ask
-	endBy   ident.Time
-	version book.Weights
+	ask   Ask
+	endBy ident.Time
 	// unread are the tokens that the engine had to read; alone is true when it read nothing else then.
 	unread ident.Tokens
 	alone  bool
 }
 
 func newEngine(e census.Entry, remembered int) *engine {
-	return &engine{entry: e, slots: map[book.AdapterRef]*slot{}, dropped: newRecent(remembered), prompts: newPrompts(), running: map[ID]*run{}}
+	n := &engine{entry: e, slots: map[book.AdapterRef]*slot{}, dropped: newRecent(remembered), prompts: newPrompts(), running: map[ID]*run{}}
+	for _, h := range e.Held {
+		// Enough to send requests there; orders wait for the engine's report.
+		n.slots[book.AdapterRef{Model: h.Model, Adapter: h.Adapter}] = &slot{version: book.Weights(h.Version), usedAt: e.Heard, readyAt: e.Heard, placed: true, proved: true}
+	}
+	return n
 }
 
 // usable reports whether new requests may be sent to the engine.
@@ -181,8 +186,8 @@
 }
 
 // start puts a request on the engine.
-func (e *engine) start(a Ask, v book.Weights, now ident.Time, unread ident.Tokens, read time.Duration) {
-	e.running[a.ID] = &run{ask: a, endBy: now.Add(a.Left), version: v, unread: unread, alone: e.readUntil <= now}
+func (e *engine) start(a Ask, now ident.Time, unread ident.Tokens, read time.Duration) {
+	e.running[a.ID] = &run{ask: a, endBy: now.Add(a.Left), unread: unread, alone: e.readUntil <= now}
 	e.tokens += a.Prompt + a.Output
 	e.readUntil = max(e.readUntil, now).Add(read)
 	e.reading = e.readingAt(now) + read
--- a/core/grant/grant.go
+++ b/core/grant/grant.go
@@ -138,13 +138,9 @@
 
 // Report is what an engine says of itself when asked.
 type Report struct {
-	Orders  uint64 // accepted so far
-	Held    []HeldAdapter
-	Models  []string
-	Memory  ident.Tokens
-	Used    ident.Tokens
-	Waiting int
-	Running int
+	Orders uint64 // accepted so far
+	Held   []HeldAdapter
+	Models []string
 }
 
 // HeldAdapter is an adapter on an engine, or on its way there.
--- a/core/grant/load_test.go
+++ b/core/grant/load_test.go
@@ -214,3 +214,25 @@
 		})
 	}
 }
+
+// A new authority serves what heartbeats list before any engine has given its report, and asks few engines at once.
+func TestServingBeforeReports(t *testing.T) {
+	s := newSim(t, 120)
+	s.run(time.Second)
+	for n := range 100 {
+		s.ask(fmt.Sprintf("a%d", n), 0)
+	}
+	s.run(4 * time.Second)
+	s.mute = true
+	s.failover()
+	before := s.served
+	for n := range 100 {
+		s.ask(fmt.Sprintf("a%d", n), 0)
+	}
+	e := s.auth.Step(s.now)
+	assert.Assert(t, len(e.Reports) > 0 && len(e.Reports) <= 50, "%d engines asked at once", len(e.Reports))
+	s.carryOut(e)
+	s.run(2 * time.Second)
+	s.check()
+	assert.Assert(t, s.served-before >= 95, "served %d of 100, refused %v", s.served-before, s.causes)
+}
--- a/core/grant/orders.go
+++ b/core/grant/orders.go
@@ -136,20 +136,3 @@
 	}
 	return found, found.Adapter != ""
 }
-
-// Engines returns how many engines are usable, for the overview.
-func (t *Authority) Engines(now ident.Time) int {
-	n := 0
-	for _, e := range t.engines {
-		if e.usable(now, t.Params) {
-			n++
-		}
-	}
-	return n
-}
-
-// Waiting returns how many requests wait for a place.
-func (t *Authority) Waiting() int { return len(t.waiting) }
-
-// Silent reports whether the authority knows no engine of the id.
-func (t *Authority) Silent(id ident.EndpointID) bool { return t.engines[id] == nil }
--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -95,7 +95,7 @@
 	a := w.ask
 	a.Left = w.giveUp.Sub(now)
 	p := t.place(o.engine, a)
-	o.engine.start(a, p.Version, now, o.unread, o.read)
+	o.engine.start(a, now, o.unread, o.read)
 	t.forget(a.ID)
 	t.placed[a.ID] = o.engine.entry.Instance.ID
 	if s := o.engine.slots[a.Ref]; s != nil && !s.proved {
--- a/core/grant/sim_test.go
+++ b/core/grant/sim_test.go
@@ -40,6 +40,8 @@
 	begins                                    map[grant.ID]ident.Time // when the caller asked first
 	// readRate is the tokens of a prompt read in a millisecond; 0 for no time at all.
 	readRate float64
+	// mute engines give no reports.
+	mute bool
 	// loseOrders is the share of the orders that get no answer and are carried out seconds later.
 	loseOrders float64
 }
@@ -313,7 +315,8 @@
 
 func (s *sim) report(t grant.Target) {
 	e := s.engines[t.Instance.ID]
-	if e == nil {
+	if e == nil || s.mute {
+		s.after(200*time.Millisecond, func() { s.auth.Unreported(t.Instance) })
 		return
 	}
 	r := grant.Report{Orders: e.orders, Models: e.entry.Models}
--- a/core/layout/match.go
+++ b/core/layout/match.go
@@ -41,9 +41,6 @@
 	return Route{}, false
 }
 
-// Knows reports whether any route serves the name.
-func (r *Router) Knows(host string) bool { return len(r.byHost[bareHost(host)]) > 0 }
-
 // bareHost drops the port and the case of a Host header.
 func bareHost(host string) string {
 	host = strings.ToLower(host)
--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -70,16 +70,22 @@
 
 // Client keeps the connections.
 type Client struct {
-	mu    sync.Mutex
-	idle  map[string][]*conn
-	swept ident.Time
-	// Opened counts the new connections, Reused the requests on kept ones.
-	Opened, Reused int64
+	mu             sync.Mutex
+	idle           map[string][]*conn
+	swept          ident.Time
+	opened, reused int64
 }
 
 // New returns a client without connections.
 func New() *Client { return &Client{idle: map[string][]*conn{}} }
 
+// Counts returns the number of new connections and of requests on kept ones.
+func (c *Client) Counts() (opened, reused int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.opened, c.reused
+}
+
 // conn is one connection.
 type conn struct {
 	net.Conn
@@ -245,7 +251,7 @@
 		return nil, err
 	}
 	c.mu.Lock()
-	c.Opened++
+	c.opened++
 	c.mu.Unlock()
 	return &conn{Conn: raw, br: bufio.NewReaderSize(raw, bufferSize)}, nil
 }
@@ -269,7 +275,7 @@
 	}
 	cn := list[len(list)-1]
 	c.idle[key] = list[:len(list)-1]
-	c.Reused++
+	c.reused++
 	return cn
 }
 
--- a/io/dial/dial_test.go
+++ b/io/dial/dial_test.go
@@ -80,7 +80,8 @@
 	var failed *dial.Error
 	assert.Assert(t, errors.As(err, &failed) && failed.Sent, "%v", err)
 	assert.Equal(t, count.Load(), int32(2))
-	assert.Equal(t, c.Reused, int64(1))
+	_, reused := c.Counts()
+	assert.Equal(t, reused, int64(1))
 }
 
 // What can't be connected was not sent.
@@ -115,7 +116,8 @@
 				assert.NilError(t, err)
 				assert.Equal(t, body, "ok")
 			}
-			assert.Equal(t, client.Reused, map[bool]int64{true: 1}[c.kept])
+			_, reused := client.Counts()
+			assert.Equal(t, reused, map[bool]int64{true: 1}[c.kept])
 		})
 	}
 }
@@ -139,7 +141,7 @@
 		if err != nil || body != "ok" {
 			return poll.Error(errors.Join(err, errors.New(body)))
 		}
-		if c.Opened >= 2 {
+		if opened, _ := c.Counts(); opened >= 2 {
 			return poll.Success()
 		}
 		return poll.Continue("the late answer is on its way")
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -86,7 +86,6 @@
 	RetryRatio  float64
 	RetryExtra  int
 	RetryWindow time.Duration
-	Silence     time.Duration // of an endpoint, until nothing new goes to it
 }
 
 // Times and bounds of an entry host.
@@ -173,6 +172,9 @@
 	f.census.Expire(now)
 	f.picker.Forget(now.Add(-forgetAfter))
 	f.forgetServed(now)
+	opened, reused := f.client.Counts()
+	f.Meter.Gauge("shallotgap_connections_opened", opened)
+	f.Meter.Gauge("shallotgap_connections_reused", reused)
 }
 
 // Ready reports whether callers may be sent here.
--- a/io/link/mesh.go
+++ b/io/link/mesh.go
@@ -89,18 +89,6 @@
 	m.running.Go(func() { m.keep(ctx, h) })
 }
 
-// Retarget drops the targets for which keep returns false.
-func (m *Mesh) Retarget(keep func(ident.HostID) bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for h, cancel := range m.targets {
-		if !keep(h) && cancel != nil {
-			cancel()
-			delete(m.targets, h)
-		}
-	}
-}
-
 // Send queues a message for a host and reports whether there is a link that took it.
 func (m *Mesh) Send(to ident.HostID, msg Message) bool {
 	m.mu.Lock()
--- a/io/voter/lead.go
+++ b/io/voter/lead.go
@@ -138,6 +138,9 @@
 		r, err := v.Engines.Report(ctx, t)
 		v.post(func() {
 			if err != nil {
+				if v.lead == lead {
+					lead.authority.Unreported(t.Instance)
+				}
 				v.Log.WithField("step", "report").WithField("endpoint", t.Instance.ID).WithField("peer", t.Address).WithError(err).Warn("no-report")
 				return
 			}
@@ -151,7 +154,6 @@
 // Stop gives up leading, so that another host leads before this one ends.
 func (v *Voter) Stop() {
 	v.post(func() {
-		v.stopping = true
 		v.node.Tick(clock.Boot())
 		v.node.StandDown()
 		v.node.Hold(holdAfterStop)
--- a/io/voter/status.go
+++ b/io/voter/status.go
@@ -72,9 +72,6 @@
 	return layout.Diff(nil, v.book.Layout)
 }
 
-// maxChanges is the number of versions from which entry hosts get a change instead of the whole layout.
-const maxChanges = 4
-
 // noteLayout remembers the changes from the latest versions to the one in force.
 func (v *Voter) noteLayout(past []*layout.Layout) {
 	v.versions = v.versions[:0]
@@ -83,8 +80,6 @@
 	}
 }
 
-// Callers' addresses.
-
 // Addresses returns where callers of a failure domain may connect: ready entry hosts, those of the domain first and
 // alone when there are enough of them.
 func (v *Voter) Addresses(ctx context.Context, domain ident.DomainID) ([]string, error) {
@@ -133,8 +128,6 @@
 	}
 }
 
-// Endpoints.
-
 // Announce takes a heartbeat of an endpoint.
 func (v *Voter) Announce(ctx context.Context, e census.Entry) error {
 	return v.view(ctx, func() { v.observe([]census.Entry{e}, true) })
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -87,7 +87,6 @@
 	entries  map[ident.HostID]entryHost
 	calls    *calls
 	lead     *leading
-	leads    map[ident.HostID]link.Status
 	applied  ident.Index
 	sinceCut int // bytes applied since the last snapshot
 	lastTerm ident.Term
@@ -95,7 +94,6 @@
 	beats    []census.Entry
 	// changed are the endpoints that the other hosts are to be told of.
 	changed  []census.Entry
-	stopping bool
 	statusAt ident.Time
 	versions []layout.Change // latest changes, for hosts that are a version behind
 	lastRole quorum.Role
@@ -121,7 +119,7 @@
 	v := &Voter{
 		Common: common, Config: c, Meter: meter, store: store,
 		inbox: make(chan func(), inboxLength), disk: newDiskQueue(), ended: make(chan struct{}),
-		book: state, census: census.New(forgetAfter), entries: map[ident.HostID]entryHost{}, calls: newCalls(), leads: map[ident.HostID]link.Status{},
+		book: state, census: census.New(forgetAfter), entries: map[ident.HostID]entryHost{}, calls: newCalls(),
 		applied: stored.Snapshot.Index,
 	}
 	v.mesh = link.New(common, link.Config{Self: link.Hello{Host: c.Self, Domain: c.Domain, Control: true}, Handler: v, Listener: c.Listener})
@@ -242,7 +240,6 @@
 	case m.Quorum != nil:
 		v.node.Step(*m.Quorum)
 	case m.Status != nil:
-		v.leads[from.Host] = *m.Status
 		v.meet(m.Status.Control)
 	case m.Presence != nil:
 		v.entries[from.Host] = entryHost{hello: from, said: *m.Presence, at: now}
