Name the parts of control hosts for what they are

Cause: read as a newcomer: a list of past layouts that never held more than one, two types called held, constants without source. Change: the former layout and the latest change take the list's place; Seen, for what entry hosts saw served; sources beside the constants; two comments corrected. No decision changes.

--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -32,9 +32,9 @@
 	reading time.Duration
 	readAt  ident.Time
 	trouble trouble
-	// modelUntil is when a load of a base model should be complete; no adapter is ordered before.
+	// modelUntil is when a load of a base model should be complete; it is not ordered again before.
 	modelUntil ident.Time
-	// resent is the order under way, and how often it was sent again for want of an answer.
+	// resent is how often the order under way was sent again for want of an answer.
 	resent int
 	// unclearAt is when an order last got no answer.
 	unclearAt ident.Time
--- a/core/grant/grant.go
+++ b/core/grant/grant.go
@@ -104,8 +104,8 @@
 	Instance ident.Instance `json:"instance"`
 }
 
-// Held is an adapter that an engine was seen to hold.
-type Held struct {
+// Seen is an adapter that an entry host saw served at an engine.
+type Seen struct {
 	Ref      book.AdapterRef `json:"ref"`
 	Instance ident.Instance  `json:"instance"`
 }
--- a/io/front/ask.go
+++ b/io/front/ask.go
@@ -159,7 +159,7 @@
 		live.Places = append(live.Places, grant.Live{Ask: a, Instance: q.place.Instance})
 	}
 	for ref, s := range f.lately {
-		live.Lately = append(live.Lately, grant.Held{Ref: ref, Instance: s.place.Instance})
+		live.Lately = append(live.Lately, grant.Seen{Ref: ref, Instance: s.place.Instance})
 	}
 	f.mu.Unlock()
 	f.mesh.Send(to, link.Message{Live: &live})
--- a/io/link/message.go
+++ b/io/link/message.go
@@ -66,7 +66,7 @@
 	Term   ident.Term   `json:"term"`
 	Places []grant.Live `json:"places"`
 	// Lately are the places at which adapters were last served.
-	Lately []grant.Held `json:"lately,omitempty"`
+	Lately []grant.Seen `json:"lately,omitempty"`
 }
 
 // Fetch asks for what is newer than the sender's state.
--- a/io/voter/log.go
+++ b/io/voter/log.go
@@ -65,27 +65,21 @@
 		v.Log.WithField("step", "apply").WithField("index", e.Index).WithError(err).Error("bad-entry")
 		return
 	}
-	past := v.pastLayouts(c)
+	former := v.book.Layout
 	if v.book.Apply(c) {
-		v.applyEffects(c, past, e.Index)
+		v.applyEffects(c, former, e.Index)
 	}
 	v.calls.committed(e.Index, e.Term)
 	v.compact()
 }
 
-func (v *Voter) pastLayouts(c book.Command) []*layout.Layout {
-	if c.Layout == nil || v.book.Layout == nil {
-		return nil
-	}
-	return []*layout.Layout{v.book.Layout}
-}
-
-func (v *Voter) applyEffects(c book.Command, past []*layout.Layout, index ident.Index) {
+// applyEffects tells those who need it what a command has changed; former is the layout before it.
+func (v *Voter) applyEffects(c book.Command, former *layout.Layout, index ident.Index) {
 	v.statusAt = 0
 	log := v.Log.WithField("step", "apply").WithField("index", index)
 	if c.Layout != nil {
-		v.noteLayout(past)
-		v.tellServices(past)
+		v.latest = layout.Diff(former, v.book.Layout)
+		v.tellServices(former)
 		log.WithField("version", c.Layout.Version).WithField("routes", len(c.Layout.Routes)).Info("layout")
 	} else {
 		log.WithField("model", c.Newest.Of.Model).WithField("adapter", c.Newest.Of.Adapter).WithField("version", c.Newest.Version).Info("newest")
@@ -101,8 +95,8 @@
 }
 
 // tellServices tells entry hosts of the endpoints of services that the layout has brought.
-func (v *Voter) tellServices(past []*layout.Layout) {
-	if len(past) > 0 && reflect.DeepEqual(past[0].Services, v.book.Layout.Services) {
+func (v *Voter) tellServices(former *layout.Layout) {
+	if former != nil && reflect.DeepEqual(former.Services, v.book.Layout.Services) {
 		return
 	}
 	if list := v.forEntries(v.census.List()); len(list) > 0 {
--- a/io/voter/status.go
+++ b/io/voter/status.go
@@ -62,24 +62,14 @@
 	}
 }
 
-// changeFrom returns the change from a version to the one in force; the whole of it for a version that is long past.
+// changeFrom returns the change from a version to the one in force: the whole of it unless the version is the one before.
 func (v *Voter) changeFrom(from layout.Version) layout.Change {
-	for _, c := range v.versions {
-		if c.From == from && c.To == v.book.Layout.Version {
-			return c
-		}
+	if v.latest.To == v.book.Layout.Version && v.latest.From == from {
+		return v.latest
 	}
 	return layout.Diff(nil, v.book.Layout)
 }
 
-// noteLayout remembers the changes from the latest versions to the one in force.
-func (v *Voter) noteLayout(past []*layout.Layout) {
-	v.versions = v.versions[:0]
-	for _, old := range past {
-		v.versions = append(v.versions, layout.Diff(old, v.book.Layout))
-	}
-}
-
 // Addresses returns where callers of a failure domain may connect: ready entry hosts, those of the domain first and
 // alone when there are enough of them.
 func (v *Voter) Addresses(ctx context.Context, domain ident.DomainID) ([]string, error) {
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -55,21 +55,22 @@
 // Times and bounds of a control host.
 const (
 	tickEvery   = 10 * time.Millisecond
-	heartbeat   = 60 * time.Millisecond  // a fifth of the election timeout
-	election    = 300 * time.Millisecond // many round trips, and a fraction of the callers' targets
-	repairAfter = 1500 * time.Millisecond
-	maxBatch    = 256              // entries of one append
-	compactAt   = 2000             // entries
-	compactOver = 4 << 20          // bytes of entries
-	inboxLength = 16384            // events that wait for the loop
-	forgetAfter = 60 * time.Second // of endpoints that are gone
-	// slowDisk is how long a write may take before a leader gives up leading.
+	heartbeat   = 60 * time.Millisecond   // a fifth of the election timeout
+	election    = 300 * time.Millisecond  // many round trips, and a fraction of the callers' targets
+	repairAfter = 1500 * time.Millisecond // a third of the 4 s that a successor has to catch up
+	maxBatch    = 256                     // entries of one append: some tens of kB
+	compactAt   = 2000                    // entries; a restart reads them in some ms
+	compactOver = 4 << 20                 // bytes of entries: a small part of the smallest disk, 128 MB
+	inboxLength = 16384                   // events that wait for the loop: some seconds of the busiest leader
+	forgetAfter = 60 * time.Second        // of endpoints that are gone: longer than any heartbeat is late
+	// slowDisk is how long a write may take before a leader gives up leading: hundreds of syncs, and less than the second
+	// that operators wait.
 	slowDisk = 700 * time.Millisecond
-	// presenceLife is how long an entry host counts as ready after it said so.
+	// presenceLife is how long an entry host counts as ready after it said so: three intervals and a late one.
 	presenceLife = 1500 * time.Millisecond
 )
 
-// Voter is one control host. All fields below mesh are touched by the loop only.
+// Voter is one control host. The loop alone touches the fields from node on.
 type Voter struct {
 	logs.Common
 	Config
@@ -95,7 +96,7 @@
 	// changed are the endpoints that the other hosts are to be told of.
 	changed  []census.Entry
 	statusAt ident.Time
-	versions []layout.Change // latest changes, for hosts that are a version behind
+	latest   layout.Change // the change that brought the layout in force
 	lastRole quorum.Role
 }
 
