Keep every connection of a link; write log lines whole; take back the early heartbeat

Cause 1: two control hosts that dial each other at the same moment have two connections; when the newer one broke, its host forgot the link while the older one stayed alive and was used in one direction only. Cause 2: the log's handler writes a line in pieces, each of which went to the reader alone; lines of two processes mixed in the soak's log, and each piece cost a call. Change: a link is lost with its last connection; lines are queued whole; core/quorum is as it was.

--- a/core/quorum/elect.go
+++ b/core/quorum/elect.go
@@ -142,7 +142,7 @@
 	n.leader = n.Self
 	n.peers = map[Member]*progress{}
 	n.trackMembers()
-	n.beatAt = n.now // the next tick tells the others at once
+	n.beatAt = n.now.Add(n.Heartbeat)
 	n.appendOwn(Entry{Kind: Barrier})
 }
 
--- a/io/link/mesh.go
+++ b/io/link/mesh.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,8 +38,9 @@
 	logs.Common
 	Config
 
-	mu      sync.Mutex
-	links   map[ident.HostID]*conn
+	mu sync.Mutex
+	// links are the live connections with each host, the newest last: both sides may dial at the same moment.
+	links   map[ident.HostID][]*conn
 	targets map[ident.HostID]context.CancelFunc
 	ctx     context.Context
 	running sync.WaitGroup
@@ -46,7 +48,7 @@
 
 // New returns a mesh without links.
 func New(common logs.Common, c Config) *Mesh {
-	return &Mesh{Common: common, Config: c, links: map[ident.HostID]*conn{}, targets: map[ident.HostID]context.CancelFunc{}}
+	return &Mesh{Common: common, Config: c, links: map[ident.HostID][]*conn{}, targets: map[ident.HostID]context.CancelFunc{}}
 }
 
 // Run takes links and keeps those to the targets until the context ends.
@@ -91,9 +93,7 @@
 
 // Send queues a message for a host and reports whether there is a link that took it.
 func (m *Mesh) Send(to ident.HostID, msg Message) bool {
-	m.mu.Lock()
-	c := m.links[to]
-	m.mu.Unlock()
+	c := m.linkTo(to)
 	if c == nil {
 		return false
 	}
@@ -119,8 +119,8 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, c := range m.links {
-		if choose(c.peer) {
+	for _, list := range m.links {
+		if c := list[len(list)-1]; choose(c.peer) {
 			c.queue(data)
 		}
 	}
@@ -131,8 +131,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	list := make([]Hello, 0, len(m.links))
-	for _, c := range m.links {
-		list = append(list, c.peer)
+	for _, conns := range m.links {
+		list = append(list, conns[len(conns)-1].peer)
 	}
 	return list
 }
@@ -161,10 +161,15 @@
 	}
 }
 
+// linkTo returns the newest connection with a host, or nil.
 func (m *Mesh) linkTo(h ident.HostID) *conn {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.links[h]
+	list := m.links[h]
+	if len(list) == 0 {
+		return nil
+	}
+	return list[len(list)-1]
 }
 
 func (m *Mesh) awaitLoss(ctx context.Context, h ident.HostID) {
@@ -224,22 +229,26 @@
 	return c.read(ctx, m)
 }
 
+// up takes a connection whose other side has introduced itself.
 func (m *Mesh) up(c *conn) {
 	m.mu.Lock()
-	m.links[c.peer.Host] = c
+	m.links[c.peer.Host] = append(m.links[c.peer.Host], c)
 	m.mu.Unlock()
 	m.Log.WithField("peer", c.peer.Host).WithField("domain", c.peer.Domain).Info("link-up")
 	m.Handler.LinkUp(c.peer)
 }
 
+// down forgets a connection; the link is lost with the last one.
 func (m *Mesh) down(c *conn) {
 	m.mu.Lock()
-	current := m.links[c.peer.Host] == c
-	if current {
+	left := slices.DeleteFunc(m.links[c.peer.Host], func(x *conn) bool { return x == c })
+	if len(left) > 0 {
+		m.links[c.peer.Host] = left
+	} else {
 		delete(m.links, c.peer.Host)
 	}
 	m.mu.Unlock()
-	if current {
+	if len(left) == 0 {
 		m.Log.WithField("peer", c.peer.Host).Info("link-down")
 		m.Handler.LinkDown(c.peer)
 	}
--- a/io/logs/bounded.go
+++ b/io/logs/bounded.go
@@ -1,8 +1,10 @@
 package logs
 
 import (
+	"bytes"
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -17,6 +19,8 @@
 type Bounded struct {
 	lines   chan []byte
 	dropped atomic.Int64
+	mu      sync.Mutex
+	partial []byte // the beginning of a line
 }
 
 var _ io.Writer = (*Bounded)(nil)
@@ -28,13 +32,20 @@
 	return b
 }
 
-// Write queues a line; it always succeeds.
+// Write queues what ends a line with all before it; it always succeeds. The log's handler writes a line in pieces.
 func (b *Bounded) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.partial = append(b.partial, p...)
+	if !bytes.HasSuffix(p, []byte{'\n'}) {
+		return len(p), nil
+	}
 	select {
-	case b.lines <- append([]byte(nil), p...):
+	case b.lines <- b.partial:
 	default:
 		b.dropped.Add(1)
 	}
+	b.partial = nil
 	return len(p), nil
 }
 
--- a/io/logs/bounded_test.go
+++ b/io/logs/bounded_test.go
@@ -38,3 +38,15 @@
 	}
 	assert.Assert(t, b.Dropped() >= 20_000-5_000)
 }
+
+// A line that is written in pieces reaches the reader whole, so that lines of two processes don't mix.
+func TestBoundedKeepsLinesWhole(t *testing.T) {
+	s := &stuck{release: make(chan struct{}), got: make(chan string, 1)}
+	close(s.release)
+	b := logs.NewBounded(s)
+	for _, piece := range []string{"step=", "grant ", "outcome=granted", "\n"} {
+		_, err := b.Write([]byte(piece))
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, <-s.got, "step=grant outcome=granted\n")
+}
