--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -273,7 +273,7 @@
 }
 
 func (t *Authority) note(step string, a Ask, at ident.EndpointID, outcome, inputs string) {
-	t.out.Notes = append(t.out.Notes, Note{Step: step, Request: a.Request, Endpoint: at, Outcome: outcome, Inputs: inputs})
+	t.out.Notes = append(t.out.Notes, Note{Step: step, Request: a.Request, Peer: a.Host, Endpoint: at, Outcome: outcome, Inputs: inputs})
 }
 
 // Step decides on all that waits and returns what is to be done.
--- a/core/grant/grant.go
+++ b/core/grant/grant.go
@@ -175,6 +175,7 @@
 type Note struct {
 	Step     string
 	Request  string
+	Peer     ident.HostID // the entry host that asked
 	Endpoint ident.EndpointID
 	Outcome  string
 	Inputs   string
--- a/io/cmds/cmds.go
+++ b/io/cmds/cmds.go
@@ -36,6 +36,7 @@
 // Env is what every command gets.
 type Env struct {
 	Context context.Context
+	In      io.Reader
 	Out     io.Writer
 	Err     io.Writer
 }
@@ -55,7 +56,7 @@
 		_, _ = fmt.Fprintf(errOut, "shallotgap: %v\n", err)
 		return int(Usage)
 	}
-	err = parsed.Run(&Env{Context: ctx, Out: out, Err: errOut})
+	err = parsed.Run(&Env{Context: ctx, In: os.Stdin, Out: out, Err: errOut})
 	if err != nil {
 		_, _ = fmt.Fprintf(errOut, "shallotgap: %v\n", err)
 	}
--- a/io/cmds/explain.go
+++ b/io/cmds/explain.go
@@ -11,10 +11,11 @@
 	"shallotgap/io/texts"
 )
 
-// Explain tells what happened to a request, as all hosts remember it.
+// Explain tells what happened to a request, as all hosts remember it or as their logs tell it.
 type Explain struct {
 	Remote
-	Request string `arg:"" help:"Request id, as in the header Shallotgap-Request."`
+	Request string   `arg:"" help:"Request id, as in the header Shallotgap-Request."`
+	Logs    []string `placeholder:"FILE" help:"Read the logs of hosts in these files, - for standard input, instead of asking hosts."`
 }
 
 // explained is what the explain command prints as JSON.
@@ -26,6 +27,9 @@
 
 // Run prints the decisions on the request in order, with their causes.
 func (c *Explain) Run(env *Env) error {
+	if len(c.Logs) > 0 {
+		return c.fromLogs(env)
+	}
 	if _, err := ident.ParseRequestID(c.Request); err != nil {
 		return coded(Usage, err)
 	}
--- a/io/cmds/platform.go
+++ b/io/cmds/platform.go
@@ -30,7 +30,7 @@
 	if p.BindLinks != "" {
 		c.BindLinks = site.Listen(p.BindLinks)
 	}
-	common, err := logs.New(logs.NewBounded(env.Out), c.Name, p.LogLevel)
+	common, err := logs.New(logs.NewBounded(env.Out, c.Name), c.Name, p.LogLevel)
 	if err != nil {
 		return coded(Usage, err)
 	}
--- a/io/front/serve.go
+++ b/io/front/serve.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/apex/log"
+
 	"shallotgap/core/ident"
 	"shallotgap/core/layout"
 	"shallotgap/io/clock"
@@ -200,6 +202,8 @@
 
 // note logs one decision on the request.
 func (x *exchange) note(step string, endpoint ident.EndpointID, outcome, inputs string) {
-	x.Log.WithField("step", step).WithField("request", x.call.ID).WithField("route", x.route.Name).WithField("layout", x.version()).
-		WithField("endpoint", endpoint).WithField("age-ms", clock.Boot().Sub(x.began).Milliseconds()).WithField("sends", x.sends).WithField("outcome", outcome).WithField("inputs", inputs).Info("request")
+	x.Log.WithFields(log.Fields{
+		"step": step, "request": x.call.ID, "route": x.route.Name, "layout": x.version(), "endpoint": endpoint,
+		"age-ms": clock.Boot().Sub(x.began).Milliseconds(), "sends": x.sends, "outcome": outcome, "inputs": inputs,
+	}).Info("request")
 }
--- a/io/logs/bounded.go
+++ b/io/logs/bounded.go
@@ -15,8 +15,12 @@
 	reportEvery  = 10 * time.Second // a line tells how many were dropped
 )
 
+// LinesDropped is the message that tells how many lines a slow reader missed.
+const LinesDropped = "lines-dropped"
+
 // Bounded writes lines in the background: it never blocks, and drops lines when the reader is slow.
 type Bounded struct {
+	host    string
 	lines   chan []byte
 	dropped atomic.Int64
 	mu      sync.Mutex
@@ -25,9 +29,9 @@
 
 var _ io.Writer = (*Bounded)(nil)
 
-// NewBounded returns a writer that passes lines on to w.
-func NewBounded(w io.Writer) *Bounded {
-	b := &Bounded{lines: make(chan []byte, waitingLines)}
+// NewBounded returns a writer that passes the lines of a host on to w.
+func NewBounded(w io.Writer, host string) *Bounded {
+	b := &Bounded{host: host, lines: make(chan []byte, waitingLines)}
 	go b.run(w)
 	return b
 }
@@ -61,7 +65,7 @@
 		case line = <-b.lines:
 		case <-tick.C:
 			if n := b.dropped.Swap(0); n > 0 {
-				line = fmt.Appendf(nil, "log dropped=%d\n", n)
+				line = fmt.Appendf(nil, "timestamp=%s level=warn message=%s host=%s lines=%d step=log\n", time.Now().UTC().Format(time.RFC3339Nano), LinesDropped, b.host, n)
 			}
 		}
 		if _, err := w.Write(line); err != nil {
--- a/io/texts/cli.go
+++ b/io/texts/cli.go
@@ -23,6 +23,9 @@
 	StopGone        = "stop of %s withdrawn at index %d\n"
 	StopRefused     = "stop of %s: refused: %s"
 	NoNotes         = "no host remembers request %s (each host keeps its latest 50,000 decisions)\n"
+	NoLines         = "no line of these logs names request %s\n"
+	StoryTitle      = "AFTER\tHOST\tWHAT\tSTEP\tOUTCOME\tENDPOINT\tPEER\tINPUTS"
+	StoryGap        = "gap: %s\n"
 	NothingMeasured = "no request was measured yet\n"
 	SettingsOK      = "%s: ok\n"
 )
--- a/io/texts/examples.go
+++ b/io/texts/examples.go
@@ -37,7 +37,7 @@
 	"stop list":     "shallotgap stop list",
 	"status": `shallotgap status
 shallotgap status --json`,
-	"explain": "shallotgap explain e1.18bd9de1ea6e4a3d.1",
+	"explain": "shallotgap explain e1.18bd9de1ea6e4a3d.1\nshallotgap explain 4728ec5a02de2762 --logs entry.log --logs control.log",
 	"replay": `shallotgap replay e1.trace
 shallotgap replay e1.trace --explain e1.18bd9de1ea6e4a3d.1`,
 	"report": `shallotgap report
--- a/io/voter/lead.go
+++ b/io/voter/lead.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
+
 	"shallotgap/core/census"
 	"shallotgap/core/grant"
 	"shallotgap/core/ident"
@@ -96,8 +98,10 @@
 		v.mesh.Send(r.Host, link.Message{Reply: &r.Reply})
 	}
 	for _, n := range e.Notes {
-		v.Log.WithField("step", n.Step).WithField("request", n.Request).WithField("endpoint", n.Endpoint).
-			WithField("term", v.lead.term).WithField("outcome", n.Outcome).WithField("inputs", n.Inputs).Info("place")
+		v.Log.WithFields(log.Fields{
+			"step": n.Step, "request": n.Request, "endpoint": n.Endpoint, "peer": n.Peer, "term": v.lead.term,
+			"outcome": n.Outcome, "inputs": n.Inputs,
+		}).Info("place")
 	}
 	for _, o := range e.Orders {
 		v.sendOrder(ctx, o, now)
