--- a/io/host/effect.go
+++ b/io/host/effect.go
@@ -20,7 +20,7 @@
 	case e.Send != nil:
 		h.network.SendControl(e.Send.To, e.Send.Message)
 	case e.Write != nil:
-		h.writes.add(*e.Write)
+		h.writes.Add(*e.Write, 0)
 	case e.Forward != nil:
 		h.forward(*e.Forward)
 	case e.Dispatch != nil:
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -57,7 +57,7 @@
 	store   *disk.Store
 	trace   *trace.Writer
 	inbox   chan func(*world.World) *world.Event
-	writes  *writeQueue
+	writes  *disk.Queue[world.Write]
 	// ended is closed when the loop has ended and takes no more events.
 	ended chan struct{}
 
@@ -81,7 +81,7 @@
 		Incarnation: ident.Incarnation(time.Now().UnixNano()),
 		client:      engine.New(common),
 		inbox:       make(chan func(*world.World) *world.Event, inboxLength),
-		writes:      newWriteQueue(),
+		writes:      disk.NewQueue[world.Write](),
 		ended:       make(chan struct{}),
 		running:     map[ident.RequestID]context.CancelFunc{},
 		tickets:     map[world.Ticket]chan any{},
--- a/io/host/measure.go
+++ b/io/host/measure.go
@@ -76,7 +76,7 @@
 	h.Meter.Gauge("shallotgap_requests_running", int64(o.Running))
 	h.Meter.Gauge("shallotgap_loads_waiting", int64(len(o.Wants)))
 	h.Meter.Gauge("shallotgap_inbox_events", int64(len(h.inbox)))
-	h.Meter.Gauge("shallotgap_disk_writes_waiting", int64(h.writes.len()))
+	h.Meter.Gauge("shallotgap_disk_writes_waiting", int64(h.writes.Len()))
 	return nil
 }
 
--- a/io/host/writes.go
+++ b/io/host/writes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 
 	"shallotgap/core/world"
@@ -12,43 +11,6 @@
 // maxWrites is the largest number of writes that share one sync.
 const maxWrites = 1024
 
-// writeQueue holds the writes that wait for the disk. It has no bound, because the loop must never wait for the disk:
-// the disk's goroutine hands its results to the loop.
-type writeQueue struct {
-	mu   sync.Mutex
-	list []world.Write
-	wake chan struct{}
-}
-
-func newWriteQueue() *writeQueue { return &writeQueue{wake: make(chan struct{}, 1)} }
-
-func (q *writeQueue) add(w world.Write) {
-	q.mu.Lock()
-	q.list = append(q.list, w)
-	q.mu.Unlock()
-	q.signal()
-}
-
-func (q *writeQueue) signal() {
-	select {
-	case q.wake <- struct{}{}:
-	default:
-	}
-}
-
-// take returns the oldest writes, at most maxWrites.
-func (q *writeQueue) take() []world.Write {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	n := min(len(q.list), maxWrites)
-	batch := q.list[:n:n]
-	q.list = q.list[n:]
-	if len(q.list) > 0 {
-		q.signal()
-	}
-	return batch
-}
-
 // writeAll makes writes durable in order, with one sync for those that wait together.
 func (h *Host) writeAll(ctx context.Context) error {
 	defer func() { _ = h.store.Close() }()
@@ -56,8 +18,8 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-h.writes.wake:
-			if err := h.writeBatch(h.writes.take()); err != nil {
+		case <-h.writes.Wake():
+			if err := h.writeBatch(h.writes.Take(maxWrites)); err != nil {
 				h.Log.WithField("step", "write").WithField("folder", h.Settings.DataFolder).WithError(err).Error("disk-failed")
 				return fmt.Errorf("disk failed, the host stops: %w", err)
 			}
@@ -84,9 +46,3 @@
 	}
 	return nil
 }
-
-func (q *writeQueue) len() int {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return len(q.list)
-}
--- a/io/voter/log.go
+++ b/io/voter/log.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"reflect"
-	"sync"
 	"time"
 
 	"shallotgap/core/book"
@@ -28,10 +27,10 @@
 			v.sendQuorum(m)
 		}
 		if r.Seq != 0 || len(r.After) > 0 {
-			v.disk.add(diskJob{
+			v.disk.Add(diskJob{
 				write: world.Write{Seq: r.Seq, Hard: r.Hard, Snapshot: r.Snapshot, Replace: r.Snapshot != nil, Entries: r.Entries},
-				then:  r.After, at: clock.Boot(),
-			})
+				then:  r.After,
+			}, clock.Boot())
 		}
 		if r.Snapshot != nil {
 			v.restore(*r.Snapshot)
@@ -116,7 +115,7 @@
 	}
 	if snap, ok := v.node.Compact(v.applied, data); ok {
 		v.sinceCut = 0
-		v.disk.add(diskJob{write: world.Write{Snapshot: &snap}, at: clock.Boot()})
+		v.disk.Add(diskJob{write: world.Write{Snapshot: &snap}}, clock.Boot())
 	}
 }
 
@@ -124,50 +123,10 @@
 type diskJob struct {
 	write world.Write
 	then  []quorum.Message
-	at    ident.Time
 }
 
-// diskQueue holds the writes that wait for the disk; it has no bound, because the loop must never wait for the disk.
-type diskQueue struct {
-	mu    sync.Mutex
-	list  []diskJob
-	begun ident.Time // when the write under way was handed out; 0 for none
-	wake  chan struct{}
-}
-
-func newDiskQueue() *diskQueue { return &diskQueue{wake: make(chan struct{}, 1)} }
-
-func (q *diskQueue) add(j diskJob) {
-	q.mu.Lock()
-	q.list = append(q.list, j)
-	q.mu.Unlock()
-	select {
-	case q.wake <- struct{}{}:
-	default:
-	}
-}
-
-func (q *diskQueue) take() []diskJob {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	batch := q.list
-	q.list = nil
-	q.begun = 0
-	if len(batch) > 0 {
-		q.begun = batch[0].at
-	}
-	return batch
-}
-
-// late returns how long the oldest write has been waited for.
-func (q *diskQueue) late(now ident.Time) time.Duration {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.begun == 0 {
-		return 0
-	}
-	return now.Sub(q.begun)
-}
+// maxWrites is the largest number of writes that share one sync.
+const maxWrites = 1024
 
 // writeAll makes writes durable in order, with one sync for those that wait together.
 func (v *Voter) writeAll(ctx context.Context) error {
@@ -175,9 +134,9 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-v.disk.wake:
+		case <-v.disk.Wake():
 		}
-		for batch := v.disk.take(); len(batch) > 0; batch = v.disk.take() {
+		for batch := v.disk.Take(maxWrites); len(batch) > 0; batch = v.disk.Take(maxWrites) {
 			if err := v.writeBatch(batch); err != nil {
 				v.Log.WithField("step", "write").WithField("folder", v.Folder).WithError(err).Error("disk-failed")
 				return fmt.Errorf("disk failed, the host stops: %w", err)
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -79,7 +79,7 @@
 	mesh  *link.Mesh
 	store *disk.Store
 	inbox chan func()
-	disk  *diskQueue
+	disk  *disk.Queue[diskJob]
 	ended chan struct{}
 
 	node     *quorum.Node
@@ -119,7 +119,7 @@
 	}
 	v := &Voter{
 		Common: common, Config: c, Meter: meter, store: store,
-		inbox: make(chan func(), inboxLength), disk: newDiskQueue(), ended: make(chan struct{}),
+		inbox: make(chan func(), inboxLength), disk: disk.NewQueue[diskJob](), ended: make(chan struct{}),
 		book: state, census: census.New(forgetAfter), entries: map[ident.HostID]entryHost{}, calls: newCalls(),
 		applied: stored.Snapshot.Index,
 	}
@@ -203,7 +203,7 @@
 	v.flushCensus()
 	v.calls.expire(now)
 	v.passCalls()
-	if late := v.disk.late(now); late > slowDisk && v.node.Role() == quorum.Leader {
+	if late := v.disk.Late(now); late > slowDisk && v.node.Role() == quorum.Leader {
 		v.Log.WithField("step", "lead").WithField("write", late.String()).Warn("disk-slow")
 		v.node.StandDown(quorum.NoneLeftOut)
 	}
