Tell the authority of an endpoint that left instead of asking for the same place again

Change: an entry host that gives back such a place tells the authority what the endpoint said, and names the endpoint among those to avoid. The links of an entry host are an interface, so that a test can see what it sends.

--- a/io/front/ask.go
+++ b/io/front/ask.go
@@ -116,8 +116,10 @@
 	waits := q != nil && q.place == nil
 	if waits && r.Place != nil {
 		if e, known := f.census.Get(r.Place.Instance.ID); known && e.Instance == r.Place.Instance && e.State != census.Ready {
-			// The endpoint left while the place was on its way.
+			// The endpoint left while the place was on its way, or the authority is cut off from where it said so.
+			q.ask.Avoid = append(q.ask.Avoid, e.Instance.ID)
 			f.mu.Unlock()
+			f.mesh.Send(from, link.Message{Census: []census.Entry{e}})
 			f.mesh.Send(from, link.Message{End: &grant.End{ID: r.ID, Outcome: grant.Cancelled}})
 			f.reask(q)
 			return
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -98,6 +98,16 @@
 	fetchAgain = 300 * time.Millisecond
 )
 
+// mesh is what an entry host needs of its links to other hosts.
+type mesh interface {
+	Run(ctx context.Context) error
+	Target(h ident.HostID)
+	Send(to ident.HostID, msg link.Message) bool
+	SendAll(msg link.Message, choose func(link.Hello) bool)
+}
+
+var _ mesh = (*link.Mesh)(nil)
+
 // Front is one entry host.
 type Front struct {
 	logs.Common
@@ -107,7 +117,7 @@
 	// Server is where callers' requests come in; it is set before the host drains.
 	Server *http.Server
 
-	mesh   *link.Mesh
+	mesh   mesh
 	client *dial.Client
 	router atomic.Pointer[layout.Router]
 	loaded chan struct{}        // closed once there is a layout
