--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -201,8 +201,8 @@
 	}
 	switch end.Outcome {
 	case Served:
-		t.learnReading(e, r, end.First)
-		t.learnPauses(e, r.ask, end.Gap)
+		t.learnReading(r, end.First)
+		t.learnPauses(r.ask, end.Gap)
 		e.trouble.note(false, now)
 		e.trouble.down = false
 	case Failed:
--- a/core/grant/pauses.go
+++ b/core/grant/pauses.go
@@ -33,11 +33,10 @@
 )
 
 // learnPauses takes the longest pause of a stream that came whole.
-func (t *Authority) learnPauses(e *engine, a Ask, gap time.Duration) {
+func (t *Authority) learnPauses(a Ask, gap time.Duration) {
 	if a.Gap <= 0 {
 		return
 	}
-	e.pace.paused(gap)
 	late := 0.0
 	if gap > a.Gap {
 		late = 1
@@ -69,7 +68,7 @@
 	cost := harm * float64(len(e.running)) * float64(harmEach)
 	busy := float64(e.readingAt(now)) / float64(readScale)
 	long := min(1, float64(a.Output)/float64(busyOutput))
-	return time.Duration((cost + busy*long*float64(busyCost)) * strain * e.pace.lateness(gap))
+	return time.Duration((cost + busy*long*float64(busyCost)) * strain)
 }
 
 // harmShare: a prompt that takes a quarter of the longest pause has its full part in the harm.
--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -133,7 +133,7 @@
 	}
 	o := option{engine: e}
 	o.unread = max(a.Prompt-e.prompts.cached(a, w.keys), 1)
-	o.read = time.Duration(float64(o.unread) / t.readRate(e) * float64(time.Millisecond))
+	o.read = time.Duration(float64(o.unread) / t.ReadRate * float64(time.Millisecond))
 	o.cost = o.read + max(0, e.readUntil.Sub(now))
 	o.cost += time.Duration(float64(len(e.running)) / float64(engine.Slots) * float64(batchCost))
 	o.cost += e.pauseCost(a, o.read, t.strain(a.Service), now)
