--- a/core/book/book.go
+++ b/core/book/book.go
@@ -2,8 +2,6 @@
 package book
 
 import (
-	"cmp"
-
 	"shallotgap/core/ident"
 	"shallotgap/core/layout"
 	"shallotgap/core/wire"
@@ -15,11 +13,6 @@
 	Adapter ident.Adapter `json:"adapter,omitempty"`
 }
 
-// Compare orders adapters by model and name.
-func (r AdapterRef) Compare(o AdapterRef) int {
-	return cmp.Or(cmp.Compare(r.Model, o.Model), cmp.Compare(r.Adapter, o.Adapter))
-}
-
 // Weights numbers the versions of a model's or an adapter's weights; it rises.
 type Weights uint64
 
--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -41,7 +41,6 @@
 	pressures  map[ident.Service]pressure
 	// strained is the smoothed share of streams of each service that were late for a pause.
 	strained map[ident.Service]float64
-	turn     int // of telling entry hosts what engines hold
 	out      Effects
 	// superseded is set when an engine knows a later holder; nothing is ordered after that.
 	superseded bool
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -32,7 +32,6 @@
 	reading time.Duration
 	readAt  ident.Time
 	trouble trouble
-	told    []book.AdapterRef // what entry hosts were last told that it holds
 	// modelUntil is when a load of a base model should be complete; it is not ordered again before.
 	modelUntil ident.Time
 	// resent is how often the order under way was sent again for want of an answer.
--- a/io/front/ask.go
+++ b/io/front/ask.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"time"
 
-	"shallotgap/core/book"
 	"shallotgap/core/census"
 	"shallotgap/core/grant"
 	"shallotgap/core/ident"
@@ -17,12 +16,9 @@
 // Times of asking for places.
 const (
 	askAgain = 350 * time.Millisecond // an answer that takes longer is lost, or the request waits; asking twice is harmless
-	// aloneAfter is how long no authority may be known before this host sends to where the adapter is: a link that broke
-	// for a moment is there again.
-	aloneAfter = 150 * time.Millisecond
-	// abandonAfter is the least time for which a request waits while no authority is known: the shortest election and a
-	// round trip.
-	abandonAfter = 600 * time.Millisecond
+	// aloneAfter is how long no authority may answer before this host sends to where the adapter was served last:
+	// the shortest election and a round trip.
+	aloneAfter = 600 * time.Millisecond
 	// aloneLife is how long it is remembered where an adapter was served; engines remember about as many loads.
 	aloneLife = 30 * time.Second
 	// authorityPart is the part of a request's time for which it waits while no authority answers.
@@ -59,10 +55,7 @@
 // acquire asks the authority for a place and waits for it.
 func (f *Front) acquire(ctx context.Context, a grant.Ask) (*ask, grant.Reply) {
 	q := f.open(a)
-	if r, ok := f.alone(q); ok {
-		return q, r
-	}
-	timer := time.NewTimer(f.askPause())
+	timer := time.NewTimer(askAgain)
 	defer timer.Stop()
 	for {
 		select {
@@ -75,7 +68,7 @@
 			f.withdraw(q)
 			return q, grant.Reply{ID: a.ID, Cause: grant.TooLate}
 		case <-timer.C:
-			timer.Reset(f.askPause())
+			timer.Reset(askAgain)
 			if r, ok := f.alone(q); ok {
 				return q, r
 			}
@@ -88,21 +81,11 @@
 	}
 }
 
-// askPause returns after which time a request that waits is looked at again.
-func (f *Front) askPause() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.leader == "" {
-		return aloneAfter
-	}
-	return askAgain
-}
-
 // abandoned reports whether no authority has answered for so much of a request's time that its caller is better told.
 func (f *Front) abandoned(q *ask) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.leader == "" && q.place == nil && clock.Boot().Sub(q.at) > max(abandonAfter, q.ask.Left/authorityPart)
+	return f.leader == "" && q.place == nil && clock.Boot().Sub(q.at) > max(aloneAfter, q.ask.Left/authorityPart)
 }
 
 func (f *Front) open(a grant.Ask) *ask {
@@ -187,16 +170,21 @@
 	}
 }
 
-// alone chooses a place without the authority when none is known: the endpoint at which the adapter was served last, or
-// one that held it when the last authority told.
+// alone chooses a place without the authority when none has answered for a while: the endpoint at which the adapter was
+// served last.
 func (f *Front) alone(q *ask) (grant.Reply, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.leader != "" || q.place != nil || q.ask.Sends > 0 || clock.Boot().Sub(f.lostAt) < aloneAfter {
+	if f.leader != "" || q.place != nil || q.ask.Sends > 0 || clock.Boot().Sub(q.at) < aloneAfter {
 		return grant.Reply{}, false
 	}
-	p, ok := f.placeAlone(q.ask.Ref)
-	if !ok {
+	s, known := f.lately[q.ask.Ref]
+	p := s.place
+	if !known {
+		return grant.Reply{}, false
+	}
+	e, there := f.census.Get(p.Instance.ID)
+	if there && (e.Instance != p.Instance || e.State != census.Ready) {
 		return grant.Reply{}, false
 	}
 	p.Version = max(p.Version, f.newest[q.ask.Ref])
@@ -204,48 +192,6 @@
 	return grant.Reply{ID: q.ask.ID, Place: &p}, true
 }
 
-// placeAlone returns where an adapter is. The caller holds the lock.
-func (f *Front) placeAlone(ref book.AdapterRef) (grant.Place, bool) {
-	used := f.usedAlone()
-	room := func(i ident.Instance) int {
-		e, there := f.census.Get(i.ID)
-		if !there || e.Instance != i || e.State != census.Ready {
-			return 0
-		}
-		return max(1, e.Slots/f.entries) - used[i.ID]
-	}
-	if s, known := f.lately[ref]; known && room(s.place.Instance) > 0 {
-		return s.place, true
-	}
-	i, ok := f.holders.Choose(ref, room)
-	if !ok {
-		return grant.Place{}, false
-	}
-	e, _ := f.census.Get(i.ID)
-	return grant.Place{Instance: i, Address: e.Address}, true
-}
-
-// usedAlone counts the places at each endpoint that this host chose alone. All entry hosts together must not send an
-// endpoint more than it takes, so that each one keeps to its part. The caller holds the lock.
-func (f *Front) usedAlone() map[ident.EndpointID]int {
-	used := map[ident.EndpointID]int{}
-	for _, q := range f.asks {
-		if q.alone {
-			used[q.place.Instance.ID]++
-		}
-	}
-	return used
-}
-
-// takeResident takes what the authority tells of what engines hold.
-func (f *Front) takeResident(r link.Resident) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if r.Term == f.term {
-		f.holders.Take(r.List)
-	}
-}
-
 func (f *Front) close(q *ask) {
 	f.mu.Lock()
 	delete(f.asks, q.ask.ID)
@@ -274,7 +220,7 @@
 	delete(f.asks, q.ask.ID)
 	leader := f.leader
 	f.mu.Unlock()
-	if leader != "" {
+	if leader != "" && !q.alone {
 		f.mesh.Send(leader, link.Message{End: &grant.End{ID: q.ask.ID, Outcome: o, First: first, Gap: gap}})
 	}
 	f.Meter.Count("shallotgap_places_total", "outcome", outcomeName(o))
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -135,8 +135,6 @@
 	entries int // ready entry hosts, as the control hosts say
 	asks    map[grant.ID]*ask
 	lately  map[book.AdapterRef]served // where each adapter was last served
-	holders *grant.Holders
-	lostAt  ident.Time // since when no authority is known
 	budgets map[ident.Service]*grant.Budget
 	seq     uint64
 	born    ident.Time
@@ -147,7 +145,7 @@
 	f := &Front{
 		Common: common, Config: c, Meter: meter, client: dial.New(), loaded: make(chan struct{}), census: census.New(forgetAfter), picker: pick.New(c.Domain),
 		newest: map[book.AdapterRef]book.Weights{}, control: map[ident.HostID]link.Status{}, asks: map[grant.ID]*ask{},
-		lately: map[book.AdapterRef]served{}, holders: grant.NewHolders(), budgets: map[ident.Service]*grant.Budget{}, born: clock.Boot(), lostAt: clock.Boot(), entries: 1,
+		lately: map[book.AdapterRef]served{}, budgets: map[ident.Service]*grant.Budget{}, born: clock.Boot(), entries: 1,
 	}
 	f.router.Store(layout.NewRouter(nil))
 	f.mesh = link.New(common, link.Config{Self: link.Hello{Host: c.Self, Domain: c.Domain}, Handler: f, Greeting: f.greeting})
@@ -216,7 +214,7 @@
 	defer f.mu.Unlock()
 	delete(f.control, peer.Host)
 	if f.leader == peer.Host {
-		f.leader, f.lostAt = "", clock.Boot()
+		f.leader = ""
 		f.Log.WithField("step", "authority").WithField("peer", peer.Host).WithField("term", f.term).Warn("authority-lost")
 	}
 }
@@ -234,8 +232,6 @@
 		f.takeNewest(*m.Newest)
 	case m.Reply != nil:
 		f.takeReply(from.Host, *m.Reply)
-	case m.Resident != nil:
-		f.takeResident(*m.Resident)
 	}
 }
 
@@ -250,7 +246,7 @@
 	if won {
 		f.leader, f.term = from, s.Term
 	} else if f.leader == from && !s.Leads {
-		f.leader, f.lostAt = "", clock.Boot()
+		f.leader = ""
 	}
 	f.mu.Unlock()
 	if won {
--- a/io/link/message.go
+++ b/io/link/message.go
@@ -33,7 +33,6 @@
 	End      *grant.End      `json:"end,omitempty"`
 	Withdraw grant.ID        `json:"withdraw,omitempty"`
 	Live     *Live           `json:"live,omitempty"`
-	Resident *Resident       `json:"resident,omitempty"`
 	Fetch    *Fetch          `json:"fetch,omitempty"`
 	Change   *layout.Change  `json:"change,omitempty"`
 	Newest   *Newest         `json:"newest,omitempty"`
@@ -70,12 +69,6 @@
 	Lately []grant.Seen `json:"lately,omitempty"`
 }
 
-// Resident is what the leader tells entry hosts of what engines hold.
-type Resident struct {
-	Term ident.Term        `json:"term"`
-	List []grant.Residence `json:"list"`
-}
-
 // Fetch asks for what is newer than the sender's state.
 type Fetch struct {
 	Layout  layout.Version `json:"layout,omitempty"`
--- a/io/voter/lead.go
+++ b/io/voter/lead.go
@@ -22,13 +22,8 @@
 	began     ident.Time
 	ordersAt  ident.Time // no order before
 	lastOrder ident.Time
-	tellAt    ident.Time // when entry hosts are next told what engines hold
 }
 
-// tellEvery is the interval between two messages on what engines hold: adapters stay for seconds, and each entry host
-// costs the leader a write.
-const tellEvery = time.Second
-
 // orderTimeout bounds an order and a question to an engine, which answer at once.
 const orderTimeout = 200 * time.Millisecond
 
@@ -51,19 +46,6 @@
 	}
 	v.serveHeld()
 	v.carryOut(ctx, v.lead.authority.Step(now), now)
-	v.tellResidents(now)
-}
-
-// tellResidents tells entry hosts what engines hold, so that they can go on while no host leads.
-func (v *Voter) tellResidents(now ident.Time) {
-	if now < v.lead.tellAt {
-		return
-	}
-	v.lead.tellAt = now.Add(tellEvery)
-	if list := v.lead.authority.Residences(now); len(list) > 0 {
-		m := link.Message{Resident: &link.Resident{Term: v.lead.term, List: list}}
-		v.mesh.SendAll(m, func(h link.Hello) bool { return !h.Control })
-	}
 }
 
 func (v *Voter) beginLeading(term ident.Term, now ident.Time) {
