Give back to a new authority the places that were chosen alone

Cause: an entry host told a new authority of the places that it had chosen itself, but not of their ends: the authority kept the requests, their memory and their adapters' pins until 2 s after their deadlines. Ruled out: an effect of an end that the authority never knew of; it is ignored.

--- a/io/front/ask.go
+++ b/io/front/ask.go
@@ -32,8 +32,6 @@
 	ask   grant.Ask
 	at    ident.Time
 	place *grant.Place
-	// alone is true for a place that this host chose without the authority.
-	alone bool
 	reply chan grant.Reply
 }
 
@@ -188,7 +186,7 @@
 		return grant.Reply{}, false
 	}
 	p.Version = max(p.Version, f.newest[q.ask.Ref])
-	q.place, q.alone = &p, true
+	q.place = &p
 	return grant.Reply{ID: q.ask.ID, Place: &p}, true
 }
 
@@ -220,7 +218,7 @@
 	delete(f.asks, q.ask.ID)
 	leader := f.leader
 	f.mu.Unlock()
-	if leader != "" && !q.alone {
+	if leader != "" {
 		f.mesh.Send(leader, link.Message{End: &grant.End{ID: q.ask.ID, Outcome: o, First: first, Gap: gap}})
 	}
 	f.Meter.Count("shallotgap_places_total", "outcome", outcomeName(o))
