Find engines by what they hold, and search a part of thousands

Cause: each request looked at all engines, again and again while it waited; at 3,000 engines and 800 requests a second that took 7.7 s of processor for a second. Change: an index of the engines that hold an adapter or held it lately; in deployments of more than 240 engines a request looks at these (at most 64 of the holders) and at 64 others, another part with each search. Scans of all engines become rarer with their number, and the count of engines in the lines of refusals is made at most every 50 ms and says how old it is. Ruled out: an order of engines by cost (it depends on the request and on the moment). Tests: TestSearchAmongThousandsOfEngines (no adapter loaded twice while its holder has room), TestLostEnginesAreNotFound.

--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -21,6 +21,9 @@
 	newest  map[book.AdapterRef]book.Weights
 	engines map[ident.EndpointID]*engine
 	waiting map[ID]*waiter
+	// index finds engines by what they hold; cursor is where the next search among all of them begins.
+	index  *holding
+	cursor int
 	// sorted are the engines in order of their ids; nil when one came or went.
 	sorted []*engine
 	// wants counts the waiting requests for each adapter.
@@ -40,8 +43,9 @@
 	modelLoads map[ident.Service][]ident.Time
 	pressures  map[ident.Service]pressure
 	// strained is the smoothed share of streams of each service that were late for a pause.
-	strained map[ident.Service]float64
-	out      Effects
+	strained  map[ident.Service]float64
+	overviews map[ident.Service]overview
+	out       Effects
 	// superseded is set when an engine knows a later holder; nothing is ordered after that.
 	superseded bool
 }
@@ -62,8 +66,8 @@
 // New returns an authority that knows nothing yet.
 func New(p Params, now ident.Time) *Authority {
 	return &Authority{
-		Params: p, began: now, newest: map[book.AdapterRef]book.Weights{}, engines: map[ident.EndpointID]*engine{},
-		waiting: map[ID]*waiter{}, wants: map[book.AdapterRef]int{}, copies: map[book.AdapterRef]int{}, placed: map[ID]ident.EndpointID{}, budgets: map[ident.Service]*Budget{}, modelLoads: map[ident.Service][]ident.Time{}, pressures: map[ident.Service]pressure{}, strained: map[ident.Service]float64{},
+		Params: p, began: now, newest: map[book.AdapterRef]book.Weights{}, engines: map[ident.EndpointID]*engine{}, index: newHolding(),
+		waiting: map[ID]*waiter{}, wants: map[book.AdapterRef]int{}, copies: map[book.AdapterRef]int{}, placed: map[ID]ident.EndpointID{}, budgets: map[ident.Service]*Budget{}, modelLoads: map[ident.Service][]ident.Time{}, pressures: map[ident.Service]pressure{}, strained: map[ident.Service]float64{}, overviews: map[ident.Service]overview{},
 	}
 }
 
@@ -87,9 +91,13 @@
 		if e.State == census.Gone {
 			return
 		}
-		t.engines[e.Instance.ID] = newEngine(e, t.Remembered)
+		if old != nil {
+			old.leave()
+		}
+		t.engines[e.Instance.ID] = newEngine(e, t.index, t.Remembered)
 		t.sorted = nil
 	case e.State == census.Gone && len(old.running) == 0:
+		old.leave()
 		delete(t.engines, e.Instance.ID)
 		t.sorted = nil
 	default:
@@ -158,7 +166,7 @@
 func (t *Authority) Remember(h Seen) {
 	e := t.engines[h.Instance.ID]
 	if e != nil && e.entry.Instance == h.Instance && e.slots[h.Ref] == nil && h.Ref.Adapter != "" {
-		e.dropped.add(h.Ref)
+		e.remember(h.Ref)
 	}
 }
 
@@ -243,8 +251,26 @@
 	t.note("refuse", a, "", string(c), fmt.Sprintf("left=%dms sends=%d waiting=%d adapter=%s %s", a.Left.Milliseconds(), a.Sends, len(t.waiting), a.Ref.Adapter, t.overview(a.Service)))
 }
 
+// overviewLife is how long a count of all engines is used again: refusals come in hundreds.
+const overviewLife = 50 * time.Millisecond
+
+// overview is a text for logs that counts engines, and when it was made.
+type overview struct {
+	at   ident.Time
+	text string
+}
+
 // overview counts the engines of a service by what keeps them from taking a request.
 func (t *Authority) overview(s ident.Service) string {
+	o, known := t.overviews[s]
+	if !known || t.now.Sub(o.at) >= overviewLife {
+		o = overview{at: t.now, text: t.countEngines(s)}
+		t.overviews[s] = o
+	}
+	return fmt.Sprintf("counted-ms-ago=%d %s", t.now.Sub(o.at).Milliseconds(), o.text)
+}
+
+func (t *Authority) countEngines(s ident.Service) string {
 	var ready, unsure, ordering, transit, stored, held, used, running int
 	distinct := map[book.AdapterRef]bool{}
 	for _, e := range t.engines {
@@ -287,7 +313,7 @@
 			t.measurePressure(now)
 		}
 	}
-	if now.Sub(t.scannedAt) >= scanEvery {
+	if now.Sub(t.scannedAt) >= scanEvery+time.Duration(len(t.engines))*scanEach {
 		t.scannedAt = now
 		t.askReports(now)
 		t.placeModels(now)
@@ -312,6 +338,7 @@
 			}
 		}
 		if now.Sub(e.entry.Heard) > forgetAfter {
+			e.leave()
 			delete(t.engines, id)
 			t.sorted = nil
 		}
@@ -327,6 +354,8 @@
 	forgetAfter = 30 * time.Second
 	expireEvery = 100 * time.Millisecond
 	scanEvery   = 5 * time.Millisecond // of all engines; events come far more often
+	// scanEach is added for each engine, so that scans take a few hundredths of a processor however many there are.
+	scanEach = 10 * time.Microsecond
 )
 
 // askReports asks the engines whose state is not known.
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -12,6 +12,7 @@
 // engine is what the authority knows of one engine.
 type engine struct {
 	entry census.Entry
+	index *holding // of all engines
 	// known is false until the engine's own report was read under this authority, and again after an order whose
 	// result is not clear.
 	known    bool
@@ -70,11 +71,12 @@
 	alone  bool
 }
 
-func newEngine(e census.Entry, remembered int) *engine {
-	n := &engine{entry: e, slots: map[book.AdapterRef]*slot{}, dropped: newRecent(remembered), prompts: newPrompts(), running: map[ID]*run{}}
+func newEngine(e census.Entry, index *holding, remembered int) *engine {
+	n := &engine{entry: e, index: index, slots: map[book.AdapterRef]*slot{}, dropped: newRecent(remembered), prompts: newPrompts(), running: map[ID]*run{}}
 	for _, h := range e.Held {
 		// Enough to send requests there; orders wait for the engine's report.
-		n.slots[book.AdapterRef{Model: h.Model, Adapter: h.Adapter}] = &slot{version: book.Weights(h.Version), usedAt: e.Heard, readyAt: e.Heard, placed: true, proved: true}
+		s := &slot{version: book.Weights(h.Version), usedAt: e.Heard, readyAt: e.Heard, placed: true, proved: true}
+		n.hold(book.AdapterRef{Model: h.Model, Adapter: h.Adapter}, s)
 	}
 	return n
 }
@@ -112,7 +114,7 @@
 		if s == nil {
 			s = &slot{usedAt: now, readyAt: now, placed: true, proved: !h.Coming}
 			s.pins = e.users(h.Ref) // an entry host may have told of them before the engine did
-			e.slots[h.Ref] = s
+			e.hold(h.Ref, s)
 		}
 		if h.Coming {
 			s.readyAt = max(s.readyAt, now.Add(p.AdapterLoad/2))
@@ -126,7 +128,7 @@
 	}
 	for ref, s := range e.slots {
 		if !seen[ref] && s.pins == 0 {
-			delete(e.slots, ref)
+			e.letGo(ref)
 		}
 	}
 }
--- a/core/grant/orders.go
+++ b/core/grant/orders.go
@@ -23,7 +23,7 @@
 		t.fetching++
 	}
 	s.readyAt = now.Add(s.span)
-	o.engine.slots[w.ask.Ref] = s
+	o.engine.hold(w.ask.Ref, s)
 	t.order(o.engine, Order{Load: true, Ref: w.ask.Ref, Version: v, Cause: "request " + w.ask.Request})
 }
 
@@ -69,7 +69,7 @@
 		}
 		t.doubt(e, now.Add(reportAge), "order "+r.String())
 		if s != nil && o.Load && r != Unknown && !resent {
-			delete(e.slots, o.Ref)
+			e.letGo(o.Ref)
 		}
 	case o.Load:
 		e.orders++
@@ -79,8 +79,8 @@
 	default:
 		e.orders++
 		if s != nil && r == Holds {
-			delete(e.slots, o.Ref)
-			e.dropped.add(o.Ref)
+			e.letGo(o.Ref)
+			e.remember(o.Ref)
 		}
 	}
 	if r == Accepted && !o.Load {
--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -110,7 +110,7 @@
 	var best option
 	found := false
 	storeBusy := t.storeBusy()
-	for _, e := range t.inOrder() {
+	for _, e := range t.candidates(w.ask.Ref) {
 		if e.entry.Service != w.ask.Service || !e.usable(now, t.Params) || !e.holdsModel(w.ask.Ref.Model) || slices.Contains(w.ask.Avoid, e.entry.Instance.ID) {
 			continue
 		}
