Keep the budget of repeated sends over authorities, exactly

Cause: a new authority began with a full budget, whatever its predecessor had spent in the same window; the engines' part was cut to 0.4 of the constant for that, which covers two authorities in a window and no third. Ruled out: keeping counts in the replicated log (a write for each repeated send). The engines' part is 0.8 now; the rest is for what lost entry hosts had counted.

--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -131,7 +131,7 @@
 		}
 		return
 	}
-	b := t.budgetOf(a.Service)
+	b := t.budgetOf(a.Service, now)
 	if a.Sends == 0 {
 		b.Asked(now)
 	} else if a.Sends >= maxSends || !b.Spend(now) {
@@ -142,15 +142,21 @@
 	t.wants[a.Ref]++
 }
 
-func (t *Authority) budgetOf(s ident.Service) *Budget {
+func (t *Authority) budgetOf(s ident.Service, now ident.Time) *Budget {
 	b := t.budgets[s]
 	if b == nil {
 		b = NewBudget(t.RetryRatio, t.RetryExtra, t.RetryWindow)
 		t.budgets[s] = b
 	}
+	b.Careful = now.Sub(t.began) < t.Settle
 	return b
 }
 
+// Carry takes what an entry host sent to a service before this authority began, so that the budget holds over both.
+func (t *Authority) Carry(s ident.Service, sent Sends, now ident.Time) {
+	t.budgetOf(s, now).Carry(sent, now)
+}
+
 // Resume takes a place that an entry host uses since before this authority began.
 func (t *Authority) Resume(l Live, now ident.Time) {
 	e := t.engines[l.Instance.ID]
--- a/io/front/ask.go
+++ b/io/front/ask.go
@@ -92,11 +92,22 @@
 	a.ID = grant.ID(string(f.Self) + "/" + strconv.FormatInt(int64(f.born), 36) + "/" + strconv.FormatUint(f.seq, 36))
 	q := &ask{ask: a, at: clock.Boot(), reply: make(chan grant.Reply, 1)}
 	f.asks[a.ID] = q
+	f.countSend(a)
 	f.mu.Unlock()
 	f.sendAsk(q)
 	return q
 }
 
+// countSend counts a send for the next authority. The caller holds the lock.
+func (f *Front) countSend(a grant.Ask) {
+	b := f.sent[a.Service]
+	if b == nil {
+		b = grant.NewBudget(f.RetryRatio, f.RetryExtra, f.RetryWindow)
+		f.sent[a.Service] = b
+	}
+	b.Count(a.Sends > 0, clock.Boot())
+}
+
 func (f *Front) sendAsk(q *ask) {
 	f.mu.Lock()
 	leader, a := f.leader, q.ask
@@ -146,7 +157,7 @@
 
 // greetAuthority tells a new authority which places are in use and what waits.
 func (f *Front) greetAuthority(to ident.HostID, term ident.Term) {
-	live := link.Live{Term: term}
+	live := link.Live{Term: term, Sent: map[ident.Service]grant.Sends{}}
 	var open []*ask
 	f.mu.Lock()
 	for _, q := range f.asks {
@@ -158,6 +169,9 @@
 		a.Left -= clock.Boot().Sub(q.at)
 		live.Places = append(live.Places, grant.Live{Ask: a, Instance: q.place.Instance})
 	}
+	for s, b := range f.sent {
+		live.Sent[s] = b.Sends(clock.Boot())
+	}
 	for ref, s := range f.lately {
 		live.Lately = append(live.Lately, grant.Seen{Ref: ref, Instance: s.place.Instance})
 	}
--- a/io/front/ask_test.go
+++ b/io/front/ask_test.go
@@ -34,7 +34,7 @@
 	t.Helper()
 	common, err := logs.New(io.Discard, "f1", "error")
 	assert.NilError(t, err)
-	f := New(common, metric.New(burn.Targets{}), Config{Self: "f1", Domain: "north"})
+	f := New(common, metric.New(burn.Targets{}), Config{Self: "f1", Domain: "north", RetryRatio: 0.2, RetryExtra: 10, RetryWindow: 10 * time.Second})
 	sent := &sentLinks{}
 	f.mesh = sent
 	return f, sent
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -134,8 +134,9 @@
 	term    ident.Term
 	entries int // ready entry hosts, as the control hosts say
 	asks    map[grant.ID]*ask
-	lately  map[book.AdapterRef]served // where each adapter was last served
-	budgets map[ident.Service]*grant.Budget
+	lately  map[book.AdapterRef]served      // where each adapter was last served
+	budgets map[ident.Service]*grant.Budget // of plain services
+	sent    map[ident.Service]*grant.Budget // counts the sends to engines
 	seq     uint64
 	born    ident.Time
 }
@@ -145,7 +146,7 @@
 	f := &Front{
 		Common: common, Config: c, Meter: meter, client: dial.New(), loaded: make(chan struct{}), census: census.New(forgetAfter), picker: pick.New(c.Domain),
 		newest: map[book.AdapterRef]book.Weights{}, control: map[ident.HostID]link.Status{}, asks: map[grant.ID]*ask{},
-		lately: map[book.AdapterRef]served{}, budgets: map[ident.Service]*grant.Budget{}, born: clock.Boot(), entries: 1,
+		lately: map[book.AdapterRef]served{}, budgets: map[ident.Service]*grant.Budget{}, sent: map[ident.Service]*grant.Budget{}, born: clock.Boot(), entries: 1,
 	}
 	f.router.Store(layout.NewRouter(nil))
 	f.mesh = link.New(common, link.Config{Self: link.Hello{Host: c.Self, Domain: c.Domain}, Handler: f, Greeting: f.greeting})
--- a/io/link/message.go
+++ b/io/link/message.go
@@ -67,6 +67,8 @@
 	Places []grant.Live `json:"places"`
 	// Lately are the places at which adapters were last served.
 	Lately []grant.Seen `json:"lately,omitempty"`
+	// Sent is what the entry host sent to engines lately.
+	Sent map[ident.Service]grant.Sends `json:"sent,omitempty"`
 }
 
 // Fetch asks for what is newer than the sender's state.
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -48,8 +48,10 @@
 	idleTimeout   = 2 * time.Minute
 	// reloadEvery is how often the settings file is looked at, since it may change without a signal.
 	reloadEvery = time.Second
-	// extraPart is the part of the constant retry budget that the engines' authority spends; as much is left for a second
-	// authority after an election.
+	// authorityPart is the part of the constant retry budget that the engines' authority spends; the rest is for sends of
+	// entry hosts that were lost with what they had counted.
+	authorityPart = 0.8
+	// extraPart is that for plain services, which all entry hosts share by their number: some may know of fewer.
 	extraPart = 0.4
 	// addressLife is how long callers keep the addresses that they are given: short, so that they are gone from a
 	// stopping host well before its grace ends.
@@ -125,7 +127,7 @@
 		return fmt.Errorf("listen for links: %w", err)
 	}
 	places := grant.Defaults()
-	places.RetryRatio, places.RetryExtra, places.RetryWindow = h.RetryRatio, int(float64(h.RetryExtra)*extraPart), h.RetryWindow
+	places.RetryRatio, places.RetryExtra, places.RetryWindow = h.RetryRatio, int(float64(h.RetryExtra)*authorityPart), h.RetryWindow
 	places.Silence = 3*h.BeatEvery + 900*time.Millisecond // three heartbeats, the last of which may be late
 	places.BeatLag = h.BeatEvery + 800*time.Millisecond   // a heartbeat and the age of its list
 	v, err := voter.New(h.Common, h.meter, voter.Config{
--- a/io/voter/lead.go
+++ b/io/voter/lead.go
@@ -90,6 +90,9 @@
 		for _, h := range m.Live.Lately {
 			v.lead.authority.Remember(h)
 		}
+		for s, sent := range m.Live.Sent {
+			v.lead.authority.Carry(s, sent, now)
+		}
 	}
 }
 
