Tell heartbeats that say nothing new in few bytes

Cause: control hosts told each other every heartbeat as a whole, with the list of adapters that an engine holds, of which most had been said before: bytes and messages of control hosts grow with endpoints. Change: a heartbeat whose content is that of the one before goes out as instance, sequence and checksum; each eighth one is told whole, and a host that knows other content takes only that the endpoint is alive. Ruled out: naming the heartbeat that is repeated (two control hosts that hear one endpoint in turn can disagree on it). Tests: TestBeatsTellTheSame (with a third and most messages lost, no list is taken for newer than it is), TestBeatsThatChangeNothing, TestBeatOfOtherContent.

--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -114,6 +114,13 @@
 	}
 }
 
+// Alive takes that an engine sent a heartbeat whose content is not known here.
+func (t *Authority) Alive(i ident.Instance, now ident.Time) {
+	if e := t.engines[i.ID]; e != nil && e.entry.Instance == i {
+		e.entry.Heard = now
+	}
+}
+
 // doubt has an engine asked what it holds, not before the given time; no order goes there until it has answered.
 func (t *Authority) doubt(e *engine, after ident.Time, cause string) {
 	e.known, e.reportAt = false, after
--- a/io/link/message.go
+++ b/io/link/message.go
@@ -28,6 +28,7 @@
 	Presence *Presence       `json:"presence,omitempty"`
 	Quorum   *quorum.Message `json:"quorum,omitempty"`
 	Census   []census.Entry  `json:"census,omitempty"`
+	Beats    []census.Beat   `json:"beats,omitempty"`
 	Ask      *grant.Ask      `json:"ask,omitempty"`
 	Reply    *grant.Reply    `json:"reply,omitempty"`
 	End      *grant.End      `json:"end,omitempty"`
--- a/io/voter/status.go
+++ b/io/voter/status.go
@@ -138,6 +138,7 @@
 	now := clock.Boot()
 	for _, e := range list {
 		e.Heard = now
+		former, _ := v.census.Get(e.Instance.ID)
 		news := v.census.Observe(e, now)
 		if news == census.Stale {
 			v.Meter.Count("shallotgap_heartbeats_total", "news", "stale")
@@ -152,10 +153,28 @@
 		if !direct {
 			continue
 		}
-		if news == census.Changed {
+		switch b, repeats := census.Spread(former, e); {
+		case news == census.Changed:
 			v.spread(e)
-		} else {
-			v.beats = append(v.beats, e)
+		case repeats:
+			v.beats = append(v.beats, b)
+		default:
+			v.whole = append(v.whole, e)
+		}
+	}
+}
+
+// repeat takes heartbeats that said nothing new to another control host.
+func (v *Voter) repeat(list []census.Beat) {
+	now := clock.Boot()
+	for _, b := range list {
+		e, same, ok := v.census.Repeat(b, now)
+		switch {
+		case !ok || v.lead == nil:
+		case same:
+			v.lead.authority.Observe(e, now)
+		default:
+			v.lead.authority.Alive(e.Instance, now)
 		}
 	}
 }
@@ -171,13 +190,16 @@
 // flushCensus tells the other hosts what endpoints said since the last tick: control hosts all of it, entry hosts the
 // changes that matter to them.
 func (v *Voter) flushCensus() {
-	if list := append(v.changed, v.beats...); len(list) > 0 {
+	if list := append(v.changed, v.whole...); len(list) > 0 {
 		v.mesh.SendAll(link.Message{Census: list}, func(h link.Hello) bool { return h.Control })
 	}
+	if len(v.beats) > 0 {
+		v.mesh.SendAll(link.Message{Beats: v.beats}, func(h link.Hello) bool { return h.Control })
+	}
 	if list := v.forEntries(v.changed); len(list) > 0 {
 		v.mesh.SendAll(link.Message{Census: list}, func(h link.Hello) bool { return !h.Control })
 	}
-	v.changed, v.beats = nil, nil
+	v.changed, v.whole, v.beats = nil, nil, nil
 }
 
 // forEntries returns what entry hosts need: the endpoints of plain services, which they choose themselves, and the engines
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -92,7 +92,8 @@
 	sinceCut int // bytes applied since the last snapshot
 	lastTerm ident.Term
 	ordered  ident.Time // when this host last ordered under an earlier term
-	beats    []census.Entry
+	beats    []census.Beat
+	whole    []census.Entry // heartbeats that say the same of an endpoint but of other adapters, or are due as a whole
 	// changed are the endpoints that the other hosts are to be told of.
 	changed  []census.Entry
 	statusAt ident.Time
@@ -246,6 +247,8 @@
 		v.entries[from.Host] = entryHost{hello: from, said: *m.Presence, at: now}
 	case m.Census != nil:
 		v.observe(m.Census, false)
+	case m.Beats != nil:
+		v.repeat(m.Beats)
 	case m.Fetch != nil:
 		v.serveFetch(from.Host, *m.Fetch)
 	case m.Call != nil:
