Tell control hosts of earlier versions whole heartbeats

Change: a host says in its greeting that it takes beats; others are told the whole heartbeats that beats stand for.

--- a/io/voter/status.go
+++ b/io/voter/status.go
@@ -190,11 +190,15 @@
 // flushCensus tells the other hosts what endpoints said since the last tick: control hosts all of it, entry hosts the
 // changes that matter to them.
 func (v *Voter) flushCensus() {
-	if list := append(v.changed, v.whole...); len(list) > 0 {
-		v.mesh.SendAll(link.Message{Census: list}, func(h link.Hello) bool { return h.Control })
+	list := append(v.changed, v.whole...)
+	if len(list) > 0 {
+		v.mesh.SendAll(link.Message{Census: list}, func(h link.Hello) bool { return h.Control && h.Beats })
 	}
 	if len(v.beats) > 0 {
-		v.mesh.SendAll(link.Message{Beats: v.beats}, func(h link.Hello) bool { return h.Control })
+		v.mesh.SendAll(link.Message{Beats: v.beats}, func(h link.Hello) bool { return h.Control && h.Beats })
+	}
+	if list = v.wholeBeats(list); v.older && len(list) > 0 {
+		v.mesh.SendAll(link.Message{Census: list}, func(h link.Hello) bool { return h.Control && !h.Beats })
 	}
 	if list := v.forEntries(v.changed); len(list) > 0 {
 		v.mesh.SendAll(link.Message{Census: list}, func(h link.Hello) bool { return !h.Control })
@@ -202,6 +206,19 @@
 	v.changed, v.whole, v.beats = nil, nil, nil
 }
 
+// wholeBeats adds to a list what beats stand for.
+func (v *Voter) wholeBeats(list []census.Entry) []census.Entry {
+	if !v.older {
+		return list
+	}
+	for _, b := range v.beats {
+		if e, known := v.census.Get(b.Instance.ID); known && e.Instance == b.Instance {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
 // forEntries returns what entry hosts need: the endpoints of plain services, which they choose themselves, and the engines
 // that leave. What engines hold and that they are ready is the authority's to know.
 func (v *Voter) forEntries(list []census.Entry) []census.Entry {
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -93,6 +93,7 @@
 	lastTerm ident.Term
 	ordered  ident.Time // when this host last ordered under an earlier term
 	beats    []census.Beat
+	older    bool           // a control host that takes no beats was linked
 	whole    []census.Entry // heartbeats that say the same of an endpoint but of other adapters, or are due as a whole
 	// changed are the endpoints that the other hosts are to be told of.
 	changed  []census.Entry
@@ -124,7 +125,7 @@
 		book: state, census: census.New(forgetAfter), entries: map[ident.HostID]entryHost{}, calls: newCalls(),
 		applied: stored.Snapshot.Index,
 	}
-	v.mesh = link.New(common, link.Config{Self: link.Hello{Host: c.Self, Domain: c.Domain, Control: true}, Handler: v, Listener: c.Listener})
+	v.mesh = link.New(common, link.Config{Self: link.Hello{Host: c.Self, Domain: c.Domain, Control: true, Beats: true}, Handler: v, Listener: c.Listener})
 	v.node = v.newNode(stored)
 	for _, h := range c.Seeds {
 		v.mesh.Target(h)
@@ -267,6 +268,7 @@
 			v.node.Domains[peer.Host] = peer.Domain
 			v.mesh.Target(peer.Host)
 			v.addContact(peer.Host)
+			v.older = v.older || !peer.Beats
 		}
 		list := v.census.List()
 		if !peer.Control {
