Hold callers to the configuration's limits of head and idle time

Cause: maxHeaderBytes, headerTimeoutMs and idleTimeoutMs of the configuration were decoded and used nowhere (only the body's limit was); entry hosts took heads of up to 1 MB within 10 s and kept idle connections for 2 minutes, whatever the operators set. Ruled out: the server's own timeouts, which can't change while it serves. Change: a head above the limit is answered 431; a connection on which the first head takes longer than its limit, or which is idle for longer than its limit, is closed. Tests, failing first: TestSlowAndIdleCallers (three of four cases), TestFinalAnswers 'head too long'.

--- a/io/front/serve.go
+++ b/io/front/serve.go
@@ -80,6 +80,10 @@
 		x.refuse(http.StatusServiceUnavailable, "no-layout", startPause)
 		return false
 	}
+	if limit := router.Layout.Limits.HeaderBytes; limit > 0 && headerBytes(x.r) > limit {
+		x.reject(http.StatusRequestHeaderFieldsTooLarge, "header-too-large")
+		return false
+	}
 	route, ok := router.Match(x.r.Host, x.r.URL.Path)
 	if !ok {
 		x.reject(http.StatusNotFound, "no-route")
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -165,18 +165,23 @@
 			return err
 		}
 	}
-	server, err := h.serve(ctx, h.Callers, f)
+	server, err := h.serveWith(ctx, h.Callers, &http.Server{Handler: f, ConnState: f.ConnState()})
 	f.Server = server
 	return err
 }
 
 // serve answers requests on an address until the context ends.
 func (h *host) serve(ctx context.Context, l Listen, handler http.Handler) (*http.Server, error) {
+	return h.serveWith(ctx, l, &http.Server{Handler: handler})
+}
+
+// serveWith does so with a server that has settings of its own.
+func (h *host) serveWith(ctx context.Context, l Listen, server *http.Server) (*http.Server, error) {
 	listener, err := net.Listen("tcp", string(l))
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: quiet}
+	server.ReadHeaderTimeout, server.IdleTimeout, server.ErrorLog = headerTimeout, idleTimeout, quiet
 	h.group.Go(func() error {
 		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) && ctx.Err() == nil {
 			return fmt.Errorf("serve %s: %w", l, err)
