Stop the busy wait for links that were closed; ignore what announces itself for unknown services

Cause (links): awaitLoss looked at the newest connection of a host again as soon as that was closed, but it is listed until its reader has noticed. Meanwhile the wait used the processor without a break. Ruled out: the machine's load (the process used the processor alone in user mode while the other seven cores were idle) and the runtime. Change: whoever waits for the loss of a link waits until the mesh has forgotten its connections. Test: WaitForTheLossOfAClosedConnection, 1,001 looks on the former code, blocked after the first one now.

Cause (census): a heartbeat for a service that no configuration names, under the id or at the address of an endpoint, took the place of that endpoint, whose own heartbeats were then stale; an engine was unusable after 4.5 s. Entry hosts kept the former entry, as they are told of known services only. Change: such heartbeats change nothing; before the services are known, none loses its address.

--- a/core/census/census.go
+++ b/core/census/census.go
@@ -50,6 +50,10 @@
 	entries map[ident.EndpointID]Entry
 	// at are the endpoints that were last heard of at each address; a heartbeat must not cost a look at all endpoints.
 	at map[string][]ident.EndpointID
+	// named reports whether a service is one of the deployment's; nil while that is not known.
+	named func(ident.Service) bool
+	// Await is true where anyone may announce endpoints: none loses its address before the services are known.
+	Await bool
 	// Forget is how long an endpoint is remembered after its last news.
 	Forget    time.Duration
 	expiredAt ident.Time
@@ -68,12 +72,32 @@
 	Stale   News = iota // older than what is known; nothing changed
 	Alive               // a later heartbeat that says the same
 	Changed             // state, address or start differ
+	Unnamed             // its service is none of the deployment's; nothing changed
 )
 
+// SetServices tells which services the deployment has, once that is known. What came before of other services is forgotten.
+func (c *Census) SetServices(named func(ident.Service) bool) {
+	c.named = named
+	for id, e := range c.entries {
+		if !named(e.Service) {
+			c.moved(e)
+			delete(c.entries, id)
+		}
+	}
+	for _, e := range c.List() {
+		if e.State != Gone && !c.outlived(e) {
+			c.evict(e)
+		}
+	}
+}
+
 // Observe takes what an endpoint said.
 func (c *Census) Observe(e Entry, now ident.Time) News {
 	e.Heard = now
 	old, known := c.entries[e.Instance.ID]
+	if c.foreign(e) {
+		return Unnamed
+	}
 	if known && stale(e, old) {
 		return Stale
 	}
@@ -85,7 +109,7 @@
 		return Stale
 	}
 	c.put(e)
-	if e.State != Gone {
+	if e.State != Gone && (c.named != nil || !c.Await) {
 		c.evict(e)
 	}
 	if known && same(old, e) {
@@ -94,6 +118,16 @@
 	return Changed
 }
 
+// foreign reports whether another writer announces something under the name of an endpoint or at its address. An endpoint
+// whose service the operators drop goes on to tell how it is.
+func (c *Census) foreign(e Entry) bool {
+	if c.named == nil || c.named(e.Service) {
+		return false
+	}
+	old, known := c.entries[e.Instance.ID]
+	return !known || old.Instance != e.Instance || old.Service != e.Service
+}
+
 // stale reports whether e is not news after old.
 func stale(e, old Entry) bool {
 	if e.Instance.Born != old.Instance.Born {
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -23,6 +23,7 @@
 	peer   Hello
 	out    chan []byte // encoded messages
 	closed chan struct{}
+	gone   chan struct{} // closed once the mesh has forgotten the connection
 	once   sync.Once
 	heard  atomic.Int64
 }
@@ -30,7 +31,7 @@
 var errNoHello = errors.New("the first message is not an introduction")
 
 func newConn(ws *websocket.Conn) *conn {
-	c := &conn{ws: ws, out: make(chan []byte, queueLength), closed: make(chan struct{})}
+	c := &conn{ws: ws, out: make(chan []byte, queueLength), closed: make(chan struct{}), gone: make(chan struct{})}
 	c.heard.Store(int64(clock.Boot()))
 	return c
 }
--- a/io/link/mesh.go
+++ b/io/link/mesh.go
@@ -172,12 +172,13 @@
 	return list[len(list)-1]
 }
 
+// awaitLoss returns when no connection with a host is left. A closed one counts until its reader has noticed.
 func (m *Mesh) awaitLoss(ctx context.Context, h ident.HostID) {
 	for c := m.linkTo(h); c != nil; c = m.linkTo(h) {
 		select {
 		case <-ctx.Done():
 			return
-		case <-c.closed:
+		case <-c.gone:
 		}
 	}
 }
@@ -248,6 +249,7 @@
 		delete(m.links, c.peer.Host)
 	}
 	m.mu.Unlock()
+	close(c.gone)
 	if len(left) == 0 {
 		m.Log.WithField("peer", c.peer.Host).Info("link-down")
 		m.Handler.LinkDown(c.peer)
--- a/io/voter/log.go
+++ b/io/voter/log.go
@@ -79,6 +79,9 @@
 	if c.Layout != nil {
 		v.latest = layout.Diff(former, v.book.Layout)
 		v.tellServices(former)
+		if former == nil {
+			v.nameServices()
+		}
 		log.WithField("version", c.Layout.Version).WithField("routes", len(c.Layout.Routes)).Info("layout")
 	} else {
 		log.WithField("model", c.Newest.Of.Model).WithField("adapter", c.Newest.Of.Adapter).WithField("version", c.Newest.Version).Info("newest")
@@ -93,6 +96,14 @@
 	}
 }
 
+// nameServices has the census tell endpoints of the deployment from what others announce.
+func (v *Voter) nameServices() {
+	v.census.SetServices(func(s ident.Service) bool {
+		_, ok := v.book.Layout.Service(s)
+		return ok
+	})
+}
+
 // tellServices tells entry hosts of the endpoints of services that the layout has brought.
 func (v *Voter) tellServices(former *layout.Layout) {
 	if former != nil && reflect.DeepEqual(former.Services, v.book.Layout.Services) {
--- a/io/voter/status.go
+++ b/io/voter/status.go
@@ -140,9 +140,14 @@
 		e.Heard = now
 		former, _ := v.census.Get(e.Instance.ID)
 		news := v.census.Observe(e, now)
-		if news == census.Stale {
+		switch news {
+		case census.Stale:
 			v.Meter.Count("shallotgap_heartbeats_total", "news", "stale")
 			continue
+		case census.Unnamed:
+			v.Meter.Count("shallotgap_heartbeats_total", "news", "unnamed")
+			v.logEndpoint(e, "unknown-service")
+			continue
 		}
 		if v.lead != nil {
 			v.lead.authority.Observe(e, now)
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -125,6 +125,10 @@
 		book: state, census: census.New(forgetAfter), entries: map[ident.HostID]entryHost{}, calls: newCalls(),
 		applied: stored.Snapshot.Index,
 	}
+	v.census.Await = true
+	if v.book.Layout != nil {
+		v.nameServices()
+	}
 	v.mesh = link.New(common, link.Config{Self: link.Hello{Host: c.Self, Domain: c.Domain, Control: true, Beats: true}, Handler: v, Listener: c.Listener})
 	v.node = v.newNode(stored)
 	for _, h := range c.Seeds {
