A new leader sends its first entry at once

Cause: an elected leader appended its first entry and sent it with the next heartbeat only, so that it was sure of its place, and decided on places again, 60 ms after its election (trial: 66, 67 and 66 ms in three elections). Ruled out: the disk (1 ms a write) and the way (1.4 ms). Change: the entry is sent with the election. Test: ElectedLeaderIsSureAfterOneRound; 67 ms before, one round of messages and writes now. Conclusion: each change of the leader costs a heartbeat less without an authority.

--- a/core/quorum/elect.go
+++ b/core/quorum/elect.go
@@ -155,6 +155,7 @@
 	n.trackMembers()
 	n.beatAt = n.now.Add(n.Heartbeat)
 	n.appendOwn(Entry{Kind: Barrier})
+	n.broadcast()
 }
 
 // stepVote answers a vote or a pre-vote.
