Times are histograms on the metrics address

Ruled out: histograms of the metrics library in use, which keep samples only. Conclusion: the share of requests within a target follows from one query over all hosts.

--- a/io/metric/metric.go
+++ b/io/metric/metric.go
@@ -11,22 +11,17 @@
 	"shallotgap/core/burn"
 )
 
-// reservoir and decay are the usual parameters of an exponentially decaying sample over five minutes.
-const (
-	reservoir = 1028
-	decay     = 0.015
-)
-
 // Meter collects what one host measures. Its methods may be called by several goroutines.
 type Meter struct {
 	registry metrics.Registry
 	mu       sync.Mutex
 	book     *burn.Book
+	times    map[string]*times
 }
 
 // New returns an empty meter.
 func New(t burn.Targets) *Meter {
-	return &Meter{registry: metrics.NewRegistry(), book: burn.New(t)}
+	return &Meter{registry: metrics.NewRegistry(), book: burn.New(t), times: map[string]*times{}}
 }
 
 // Count adds 1 to a counter. labels are pairs of name and value.
@@ -39,12 +34,16 @@
 	metrics.GetOrRegisterGauge(key(name, labels), m.registry).Update(value)
 }
 
-// Time adds a duration to a summary of the latest five minutes.
+// Time adds a duration to the histogram of the given name, which names its unit, seconds.
 func (m *Meter) Time(name string, d time.Duration) {
-	h := m.registry.GetOrRegister(name, func() metrics.Histogram {
-		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoir, decay))
-	})
-	h.(metrics.Histogram).Update(d.Nanoseconds())
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := m.times[name]
+	if t == nil {
+		t = newTimes()
+		m.times[name] = t
+	}
+	t.add(d)
 }
 
 // Event counts an event of a service level.
--- a/io/metric/text.go
+++ b/io/metric/text.go
@@ -12,9 +12,6 @@
 	"shallotgap/core/burn"
 )
 
-// quantiles are those that a summary shows.
-var quantiles = []float64{0.5, 0.95, 0.99}
-
 // WriteText writes all metrics in the text exposition format (version 0.0.4).
 func (m *Meter) WriteText(w io.Writer) error {
 	all := map[string]any{}
@@ -26,10 +23,9 @@
 			out.line(name, "counter", float64(v.Count()))
 		case metrics.Gauge:
 			out.line(name, "gauge", float64(v.Value()))
-		case metrics.Histogram:
-			out.summary(name, v.Snapshot())
 		}
 	}
+	m.writeTimes(out)
 	for _, s := range m.Burn() {
 		out.series(s)
 	}
@@ -63,14 +59,6 @@
 	w.printf("%s %g\n", name, value)
 }
 
-func (w *writer) summary(name string, h metrics.Histogram) {
-	w.declare(name, "summary")
-	for i, v := range h.Percentiles(quantiles) {
-		w.printf("%s{quantile=\"%g\"} %g\n", name, quantiles[i], v/1e9)
-	}
-	w.printf("%s_count %d\n", name, h.Count())
-}
-
 // series writes the good and bad events of one workspace and objective, and their times.
 func (w *writer) series(s burn.Series) {
 	labels := []string{"workspace", string(s.Workspace), "objective", string(s.Objective)}
