Requests wait at the authority while a better engine is expected; late ones yield to those in time

Engines that could not be ordered at that moment did not count at all, requests that waited for one load were not seen by each other, and a new authority took prompts that were still to be read for read. Requests for the store went first come first served, so that in a rush all were late, and were refused after an eighth of their time whatever their turn was. Ruled out: slow engines (the worst ones changed with each authority) and the loads' estimate. Change: an engine that can't be ordered now, or an adapter whose turn at the store has not come, counts with the time until then; waiting requests plan for an engine, and its expected work includes theirs; entry hosts tell a new authority which prompts are read; requests that can't be in time yield until most of the shortest deadline is over.

--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -33,10 +33,14 @@
 	// copies counts the engines that hold each adapter, as of this step.
 	copies map[book.AdapterRef]int
 	// fetching is the number of loads from the store under way, ready that of engines, as of this step.
-	fetching, ready      int
-	loads                int     // from the store, so far
-	underWay             []*slot // loads from the store
+	fetching, ready int
+	loads           int     // from the store, so far
+	underWay        []*slot // loads from the store
+	// storeTurn is the place of each adapter among those that wait for the store, storeLength their number.
+	storeTurn            map[book.AdapterRef]int
+	storeLength          int
 	expiredAt, scannedAt ident.Time
+	turnedAt             ident.Time // when the order of the store was last found
 	placed               map[ID]ident.EndpointID
 	budgets              map[ident.Service]*Budget
 	// modelLoads are the times of the latest loads of base models.
@@ -61,13 +65,27 @@
 	// nextTry is when it is looked at again, so that many events in a row don't cost a look each.
 	nextTry ident.Time
 	rank    time.Duration
+	// plan is the engine that it waits for, and planned what its prompt needs there.
+	plan    *engine
+	planned time.Duration
+}
+
+// planFor notes the engine that a request waits for, so that others do not count on it as free.
+func (w *waiter) planFor(e *engine, read time.Duration) {
+	if w.plan != nil {
+		w.plan.planned -= w.planned
+	}
+	if w.plan = e; e != nil {
+		w.planned = read
+		e.planned += read
+	}
 }
 
 // New returns an authority that knows nothing yet.
 func New(p Params, now ident.Time) *Authority {
 	return &Authority{
 		Params: p, began: now, newest: map[book.AdapterRef]book.Weights{}, engines: map[ident.EndpointID]*engine{}, index: newHolding(),
-		waiting: map[ID]*waiter{}, wants: map[book.AdapterRef]int{}, copies: map[book.AdapterRef]int{}, placed: map[ID]ident.EndpointID{}, budgets: map[ident.Service]*Budget{}, modelLoads: map[ident.Service][]ident.Time{}, pressures: map[ident.Service]pressure{}, strained: map[ident.Service]float64{}, overviews: map[ident.Service]overview{},
+		waiting: map[ID]*waiter{}, wants: map[book.AdapterRef]int{}, copies: map[book.AdapterRef]int{}, placed: map[ID]ident.EndpointID{}, budgets: map[ident.Service]*Budget{}, modelLoads: map[ident.Service][]ident.Time{}, pressures: map[ident.Service]pressure{}, strained: map[ident.Service]float64{}, overviews: map[ident.Service]overview{}, storeTurn: map[book.AdapterRef]int{},
 	}
 }
 
@@ -170,7 +188,13 @@
 	if e == nil || e.entry.Instance != l.Instance || e.running[l.Ask.ID] != nil {
 		return
 	}
-	e.start(l.Ask, now, 0, 0)
+	if l.Read {
+		e.start(l.Ask, now, 0, 0)
+	} else {
+		unread := max(l.Ask.Prompt-e.prompts.cached(l.Ask, chain(l.Ask)), 1)
+		e.start(l.Ask, now, unread, t.readTime(unread))
+		e.running[l.Ask.ID].alone = false // when it was sent is not known here
+	}
 	t.placed[l.Ask.ID] = l.Instance.ID
 	t.forget(l.Ask.ID)
 }
@@ -193,6 +217,7 @@
 		return
 	}
 	delete(t.waiting, id)
+	w.planFor(nil, 0)
 	if t.wants[w.ask.Ref]--; t.wants[w.ask.Ref] <= 0 {
 		delete(t.wants, w.ask.Ref)
 	}
@@ -333,6 +358,10 @@
 		t.followVersions(now)
 	}
 	t.countLoads(now)
+	if now.Sub(t.turnedAt) >= turnEvery {
+		t.turnedAt = now
+		t.orderStore()
+	}
 	for _, w := range t.queue(now) {
 		t.serve(w, now)
 	}
@@ -366,7 +395,8 @@
 	endSlack    = 2 * time.Second // an entry host reports an end within a second of the deadline
 	forgetAfter = 30 * time.Second
 	expireEvery = 100 * time.Millisecond
-	scanEvery   = 5 * time.Millisecond // of all engines; events come far more often
+	turnEvery   = 20 * time.Millisecond // a small part of a load
+	scanEvery   = 5 * time.Millisecond  // of all engines; events come far more often
 	// scanEach is added for each engine, so that scans take a few hundredths of a processor however many there are.
 	scanEach = 10 * time.Microsecond
 )
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -29,6 +29,8 @@
 	tokens   ident.Tokens // memory that running requests need
 	// readUntil is when the prompts that were sent are expected to be read.
 	readUntil ident.Time
+	// planned is what the prompts of the requests need that wait for the engine.
+	planned time.Duration
 	// reading is the decayed time spent on prompts, as of readAt.
 	reading time.Duration
 	readAt  ident.Time
--- a/core/grant/queue.go
+++ b/core/grant/queue.go
@@ -17,8 +17,9 @@
 	// all of them.
 	sharedStep = 60 * time.Millisecond
 	sharedMost = 6
-	// lateStep puts requests that can no longer be on time behind those that can: they are worth three tenths.
-	lateStep = 400 * time.Millisecond
+	// lateStep puts requests that can no longer be on time behind those that can, until most of the shortest deadlines,
+	// 5 s, has passed.
+	lateStep = 2 * time.Second
 )
 
 // queue returns the waiting asks that are due for a look, the most urgent first. Waiting makes up for everything else in
@@ -44,8 +45,17 @@
 	waited := now.Sub(w.since)
 	r := time.Duration(w.ask.Priority)*classStep - waited
 	r -= time.Duration(min(t.wants[w.ask.Ref]-1, sharedMost)) * sharedStep
-	if w.ask.Target > 0 && waited > w.ask.Target {
+	if w.ask.Target > 0 && waited+t.leastTime(w.ask) > w.ask.Target {
 		r += lateStep
 	}
 	return r
 }
+
+// leastTime returns how long it takes at least from now to the first event of a request.
+func (t *Authority) leastTime(a Ask) time.Duration {
+	need := t.readTime(a.Prompt) + firstOverhead
+	if len(t.index.at[a.Ref]) == 0 && len(t.index.lately[a.Ref]) == 0 {
+		need += t.AdapterLoad
+	}
+	return need
+}
--- a/core/grant/readrate.go
+++ b/core/grant/readrate.go
@@ -16,6 +16,11 @@
 	maxReadRate   = 1000.0
 )
 
+// readTime returns how long an engine reads so many tokens of a prompt.
+func (t *Authority) readTime(n ident.Tokens) time.Duration {
+	return time.Duration(float64(n) / t.ReadRate * float64(time.Millisecond))
+}
+
 // learnReading takes the time to the first event of a request whose prompt was read alone.
 func (t *Authority) learnReading(r *run, first time.Duration) {
 	took := first - firstOverhead
--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -21,6 +21,8 @@
 	// read is the time that its prompt needs.
 	read   time.Duration
 	unread ident.Tokens
+	// held is how long nothing can be ordered at the engine, or brought from the store, for this request.
+	held time.Duration
 	// load is true when the adapter must be loaded first; evict names one to drop for it.
 	load   bool
 	evict  book.AdapterRef
@@ -44,6 +46,7 @@
 		return
 	}
 	w.nextTry = now.Add(tryEvery)
+	w.planFor(nil, 0)
 	best, found := t.best(w, s.Engine, now)
 	left := w.giveUp.Sub(now)
 	switch {
@@ -51,13 +54,26 @@
 		t.waitOrDrop(w, now)
 	case best.wait+best.read > left:
 		t.drop(w, TooLate, best.wait)
+	case best.held > 0:
+		// It waits here, where any engine can still be chosen, and not in the queue of a busier one.
+		t.waitOrTurnAway(w, best, now)
 	case best.load:
 		t.load(best, w, now)
+		w.planFor(best.engine, best.read)
 	case best.wait == 0:
 		t.grant(best, w, now)
-	case now.Sub(w.since)+best.wait > time.Duration(t.Patience*float64(w.ask.Left)):
+	default:
+		t.waitOrTurnAway(w, best, now)
+	}
+}
+
+// waitOrTurnAway keeps a request that its best engine can't take yet, unless that would use up its caller's patience.
+func (t *Authority) waitOrTurnAway(w *waiter, best option, now ident.Time) {
+	if now.Sub(w.since)+best.wait > time.Duration(t.Patience*float64(w.ask.Left)) {
 		t.drop(w, TooLate, best.wait)
+		return
 	}
+	w.planFor(best.engine, best.read)
 }
 
 // tryEvery is how often a waiting request is looked at: a fraction of the shortest load.
@@ -133,8 +149,8 @@
 	}
 	o := option{engine: e}
 	o.unread = max(a.Prompt-e.prompts.cached(a, w.keys), 1)
-	o.read = time.Duration(float64(o.unread) / t.ReadRate * float64(time.Millisecond))
-	o.cost = o.read + max(0, e.readUntil.Sub(now))
+	o.read = t.readTime(o.unread)
+	o.cost = o.read + max(0, e.readUntil.Sub(now)) + e.planned
 	o.cost += time.Duration(float64(len(e.running)) / float64(engine.Slots) * float64(batchCost))
 	o.cost += e.pauseCost(a, o.read, t.strain(a.Service), now)
 	o.cost += time.Duration(e.trouble.now(now) * float64(troubleCost))
@@ -175,17 +191,22 @@
 	return v == 0 || s.version >= v
 }
 
-// withLoad adds the cost of loading the adapter first.
+// withLoad adds the cost of loading the adapter first, and of what keeps it from being ordered now.
 func (t *Authority) withLoad(o option, e *engine, a Ask, engine *layout.Engine, storeBusy bool, now ident.Time) (option, bool) {
-	transit, _ := e.transit(now)
-	if !t.mayOrder(e, now) || transit >= t.InTransit {
+	if t.superseded {
 		return option{}, false
 	}
+	transit, _ := e.transit(now)
+	switch {
+	case !e.known:
+		o.held = knownWithin
+	case e.ordering:
+		o.held = orderedWithin
+	case transit >= t.InTransit:
+		o.held = t.AdapterLoad / 2 // on average, until one of them is complete
+	}
 	o.load = true
 	o.stored = !e.dropped.has(a.Ref)
-	if o.stored && storeBusy {
-		return option{}, false
-	}
 	wait := t.AdapterLoad
 	if !o.stored {
 		wait = time.Duration(float64(wait) * t.FastLoad)
@@ -195,9 +216,12 @@
 			// A further copy takes a place from another adapter.
 			o.cost += time.Duration(t.pressures[a.Service].now * float64(t.CopyCost))
 		}
+		if storeBusy {
+			o.held = max(o.held, t.storeWait(a.Ref))
+		}
 	}
-	o.wait = wait
-	o.cost += wait
+	o.wait = wait + o.held
+	o.cost += o.wait
 	if e.free(engine.AdapterSlots) > 0 {
 		return o, true
 	}
@@ -210,6 +234,12 @@
 	return o, true
 }
 
+// How long it takes at most until something can be ordered at an engine.
+const (
+	knownWithin   = 150 * time.Millisecond // a question and its answer, and those of other engines before it
+	orderedWithin = 10 * time.Millisecond  // some round trips
+)
+
 // victim returns the adapter to drop: not in use and with the fewest recent requests.
 func (t *Authority) victim(e *engine, now ident.Time) (book.AdapterRef, float64, bool) {
 	var best book.AdapterRef
--- a/core/grant/sim_test.go
+++ b/core/grant/sim_test.go
@@ -40,8 +40,13 @@
 	begins                                    map[grant.ID]ident.Time // when the caller asked first
 	// readRate is the tokens of a prompt read in a millisecond; 0 for no time at all.
 	readRate float64
-	// mute engines give no reports.
-	mute bool
+	// queued is true for engines that read one prompt after the other.
+	queued bool
+	// mute engines give no reports; those of the others take reportLag.
+	mute      bool
+	reportLag time.Duration
+	// knee is the number of loads from the store at once above which each takes longer; 0 for none.
+	knee int
 	// loseOrders is the share of the orders that get no answer and are carried out seconds later.
 	loseOrders float64
 }
@@ -58,6 +63,7 @@
 	running  int
 	modelAt  ident.Time      // when its base model is there; 0 for always
 	dropped  []ident.Adapter // the latest, which load ten times as fast
+	readTo   ident.Time      // when all its prompts are read
 }
 
 type simSlot struct {
@@ -176,7 +182,7 @@
 		s.order(o)
 	}
 	for _, r := range e.Reports {
-		s.after(simStep, func() { s.report(r) })
+		s.after(simStep+s.reportLag, func() { s.report(r) })
 	}
 }
 
@@ -232,12 +238,21 @@
 	e.running++
 	s.live[a.ID] = grant.Live{Ask: a, Instance: r.Place.Instance}
 	first := 40*time.Millisecond + time.Duration(e.running)*5*time.Millisecond
-	if s.readRate > 0 {
+	if s.queued {
+		e.readTo = max(e.readTo, s.now).Add(time.Duration(float64(a.Prompt) / s.readRate * float64(time.Millisecond)))
+		first += e.readTo.Sub(s.now)
+	} else if s.readRate > 0 {
 		first += time.Duration(float64(a.Prompt) / s.readRate * float64(time.Millisecond))
 	}
 	if s.now.Add(first).Sub(s.begins[a.ID]) <= a.Target {
 		s.onTime++
 	}
+	s.after(first, func() {
+		if l, known := s.live[a.ID]; known {
+			l.Read = true
+			s.live[a.ID] = l
+		}
+	})
 	s.after(first+800*time.Millisecond, func() {
 		e.running--
 		if slot != nil {
@@ -308,11 +323,26 @@
 	load := s.load
 	if slices.Contains(e.dropped, o.Ref.Adapter) {
 		load /= 10
+	} else if s.knee > 0 {
+		load = load * time.Duration(max(s.knee, s.fetching()+1)) / time.Duration(s.knee)
 	}
 	e.adapters[o.Ref.Adapter] = &simSlot{version: v, readyAt: s.now.Add(load)}
 	return grant.Accepted
 }
 
+// fetching returns the number of loads under way.
+func (s *sim) fetching() int {
+	n := 0
+	for _, e := range s.engines {
+		for _, slot := range e.adapters {
+			if slot.readyAt > s.now {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (s *sim) report(t grant.Target) {
 	e := s.engines[t.Instance.ID]
 	if e == nil || s.mute {
--- /dev/null
+++ b/core/grant/storequeue_test.go
@@ -0,0 +1,84 @@
+package grant_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shallotgap/core/book"
+	"shallotgap/core/grant"
+	"shallotgap/core/ident"
+)
+
+// Load: twice as many rare adapters are asked for as the store can bring. What the store brings is of use to requests that
+// are still in time, not to the oldest ones, and those that can't be served are told.
+func TestStoreServesWhatIsInTime(t *testing.T) {
+	const (
+		engines = 16
+		knee    = engines / 2
+		span    = 4 * time.Second
+	)
+	s := newSim(t, engines)
+	s.knee = knee
+	s.run(time.Second)
+	perSecond := 2 * knee / s.load.Seconds()
+	n := 0
+	s.traffic(perSecond, span, func() string { n++; return fmt.Sprintf("rare%d", n) })
+	s.run(6 * time.Second)
+	s.check()
+	brought := int(span.Seconds() * knee / s.load.Seconds())
+	assert.Assert(t, s.onTime >= brought*3/4, "%d in time of %d that the store could bring; served %d, refused %v", s.onTime, brought, s.served, s.causes)
+	// Callers wait for seconds after the rush, in which the store goes on for those that are late.
+	later := int(time.Second / s.load * knee)
+	assert.Assert(t, s.served >= brought+later, "served %d, refused %v", s.served, s.causes)
+	assert.Equal(t, s.served+s.refused, s.asked)
+}
+
+// Load: many requests for one adapter come to a new authority that does not know yet what most engines hold. They wait for
+// these engines' reports rather than in the queue of the one engine that is known to hold the adapter.
+func TestRequestsWaitForReports(t *testing.T) {
+	s := newSim(t, 8)
+	s.readRate, s.queued, s.reportLag = 38, true, 60*time.Millisecond
+	s.run(time.Second)
+	s.ask("hot", 0)
+	s.run(2 * time.Second)
+	s.onTime = 0
+	s.failover()
+	const asked = 16
+	for range asked {
+		s.askWith(grant.Ask{Ref: book.AdapterRef{Model: "base", Adapter: "hot"}, Prompt: 9000, Output: 50, Gap: 400 * time.Millisecond})
+	}
+	s.run(5 * time.Second)
+	s.check()
+	assert.Assert(t, s.onTime >= asked*9/10, "%d of %d in time", s.onTime, asked)
+}
+
+// Load: the authority moves while one engine has prompts to read. The new one hears of them and sends what comes next to
+// the other engine that holds the adapter, where as many streams run.
+func TestNewAuthorityKnowsUnreadPrompts(t *testing.T) {
+	s := newSim(t, 2)
+	s.readRate, s.queued = 38, true
+	s.run(time.Second)
+	for range 2 {
+		s.askWith(grant.Ask{Ref: book.AdapterRef{Model: "base", Adapter: "hot"}, Prompt: 30_000, Output: 50, Gap: 400 * time.Millisecond})
+	}
+	s.run(5 * time.Second)
+	for _, e := range s.engines {
+		assert.Assert(t, e.adapters["hot"] != nil)
+	}
+	s.failover()
+	s.run(100 * time.Millisecond)
+	for k := range 8 {
+		e := s.engines[ident.EndpointID(fmt.Sprintf("e%d", k%2))]
+		a := grant.Ask{ID: grant.ID(fmt.Sprint("live", k)), Service: service, Ref: book.AdapterRef{Model: "base", Adapter: "hot"}, Prompt: 6000, Output: 50, Left: 5 * time.Second}
+		s.auth.Resume(grant.Live{Ask: a, Instance: e.entry.Instance, Read: k%2 == 1}, s.now)
+	}
+	s.askWith(grant.Ask{Ref: book.AdapterRef{Model: "base", Adapter: "hot"}, Prompt: 900, Output: 50, Gap: 400 * time.Millisecond})
+	s.run(50 * time.Millisecond)
+	for _, l := range s.live {
+		assert.Equal(t, l.Instance.ID, ident.EndpointID("e1"))
+	}
+	assert.Equal(t, len(s.live), 1)
+}
--- a/io/front/ask.go
+++ b/io/front/ask.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"shallotgap/core/census"
@@ -33,6 +34,8 @@
 	at    ident.Time
 	place *grant.Place
 	reply chan grant.Reply
+	// read is true once an event came: its engine has read the prompt.
+	read atomic.Bool
 }
 
 // served is where an adapter was served, and when.
@@ -55,6 +58,7 @@
 	q := f.open(a)
 	timer := time.NewTimer(askAgain)
 	defer timer.Stop()
+	defer func() { f.Meter.Time("shallotgap_place_wait_seconds", clock.Boot().Sub(q.at)) }()
 	for {
 		select {
 		case r := <-q.reply:
@@ -167,7 +171,7 @@
 		}
 		a := q.ask
 		a.Left -= clock.Boot().Sub(q.at)
-		live.Places = append(live.Places, grant.Live{Ask: a, Instance: q.place.Instance})
+		live.Places = append(live.Places, grant.Live{Ask: a, Instance: q.place.Instance, Read: q.read.Load()})
 	}
 	for s, b := range f.sent {
 		live.Sent[s] = b.Sends(clock.Boot())
--- a/io/front/events.go
+++ b/io/front/events.go
@@ -14,7 +14,9 @@
 
 // events passes on a stream of events, each of them whole.
 type events struct {
-	x       *exchange
+	x *exchange
+	// at is the place that the answer comes from.
+	at      *ask
 	last    string // id of the last event that was passed on
 	rest    []byte // the beginning of an event
 	firstAt ident.Time
@@ -91,6 +93,7 @@
 		return nil
 	}
 	e.time(clock.Boot())
+	e.at.read.Store(true)
 	if e.stall != nil {
 		e.stall.Reset(e.x.nextStall())
 	}
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -107,6 +107,7 @@
 	if answer.StatusCode/100 != 2 {
 		return x.failedAnswer(q, answer, last)
 	}
+	flow.at = q
 	flow.begin(answer)
 	err = flow.copy(answer)
 	first := time.Duration(0)
