--- a/io/front/front.go
+++ b/io/front/front.go
@@ -48,6 +48,9 @@
 	Left time.Duration
 	// Resume is the id of the last event that was passed on; empty for a request from its beginning.
 	Resume string
+	// Engine is true for an endpoint that runs a model; it takes the most urgent requests first, 0 before others.
+	Engine   bool
+	Priority int
 }
 
 // Verdict is what the headers of an endpoint's answer say.
