Count loads until they are complete; wait for reports before the first grants of an authority

Cause: the loads under way were counted by their expected end only. Ruled out: the estimate of a load's time alone, which rises with each refusal. Change: a load counts until a request has proved it; those that reports list as coming count too; slots known from heartbeats only wait 60 ms for the engine's report.

--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -444,4 +444,9 @@
 		return
 	}
 	e.learn(r, now, t.Params)
+	for _, h := range r.Held {
+		if s := e.slots[h.Ref]; h.Coming && s.readyAt > now {
+			t.fetch(s, now.Add(t.AdapterLoad)) // ordered by an earlier authority; whether it comes from the store is not told
+		}
+	}
 }
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -52,6 +52,8 @@
 	usedAt  ident.Time
 	uses    float64 // decayed count of requests
 	stored  bool    // the load under way comes from the store
+	// fetchedBy is until when a load from the store counts as under way, unless a request proves it before.
+	fetchedBy ident.Time
 	// span is the time that its load takes, and placed is false until the engine has accepted the order.
 	span   time.Duration
 	placed bool
--- a/core/grant/loadtime.go
+++ b/core/grant/loadtime.go
@@ -56,6 +56,9 @@
 	default:
 		t.raiseLoad(e, now.Sub(s.loadedAt)+missPause, now)
 	}
+	if s.stored {
+		t.fetch(s, s.loadedAt.Add(maxAdapterLoad))
+	}
 	if s.misses >= maxMisses {
 		s.misses = 0
 		t.doubt(e, now, "refused several requests for "+string(r.ask.Ref.Adapter))
--- a/core/grant/orders.go
+++ b/core/grant/orders.go
@@ -19,10 +19,11 @@
 	s := &slot{version: v, span: o.wait, stored: o.stored, usedAt: now, loadedAt: now}
 	if o.stored {
 		s.span, s.early = t.loadSpan()
-		t.underWay = append(t.underWay, s)
-		t.fetching++
 	}
 	s.readyAt = now.Add(s.span)
+	if s.stored {
+		t.fetch(s, s.readyAt)
+	}
 	o.engine.hold(w.ask.Ref, s)
 	t.order(o.engine, Order{Load: true, Ref: w.ask.Ref, Version: v, Cause: "request " + w.ask.Request})
 }
@@ -75,6 +76,7 @@
 		e.orders++
 		if s != nil {
 			s.loadedAt, s.readyAt, s.placed = now, now.Add(s.span), true
+			s.fetchedBy = s.readyAt
 		}
 	default:
 		e.orders++
@@ -118,8 +120,8 @@
 			v := t.newest[ref]
 			s := e.slots[ref]
 			s.version, s.readyAt, s.span, s.stored, s.loadedAt, s.misses = v, now.Add(t.AdapterLoad), t.AdapterLoad, true, now, 0
-			t.underWay = append(t.underWay, s)
 			s.placed, s.proved, s.probe = false, false, ""
+			t.fetch(s, s.readyAt)
 			t.order(e, Order{Load: true, Ref: ref, Version: v, Cause: "newer version"})
 		}
 	}
--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -169,6 +169,10 @@
 		if o.wait == 0 && !s.proved && s.probe != "" {
 			o.wait = max(0, s.probeAt.Add(probeWait).Sub(now))
 		}
+		if !e.known {
+			// A heartbeat lists what the engine held up to some seconds ago; its report is on the way.
+			o.wait = max(o.wait, t.began.Add(reportsWithin).Sub(now))
+		}
 		o.cost += o.wait
 		return o, true
 	}
@@ -236,6 +240,7 @@
 
 // How long it takes at most until something can be ordered at an engine.
 const (
+	reportsWithin = 60 * time.Millisecond  // some round trips after an authority begins
 	knownWithin   = 150 * time.Millisecond // a question and its answer, and those of other engines before it
 	orderedWithin = 10 * time.Millisecond  // some round trips
 )
@@ -264,20 +269,6 @@
 	return t.wants[ref] > 0
 }
 
-// storeBusy reports whether another load from the store would slow all of them.
-func (t *Authority) storeBusy() bool {
-	return float64(t.fetching) >= t.knee()
-}
-
-// knee is the number of loads at once above which all of them take longer.
-func (t *Authority) knee() float64 { return max(minKnee, t.StoreKnee*float64(t.ready)) }
-
-// countLoads counts the loads from the store under way.
-func (t *Authority) countLoads(now ident.Time) {
-	t.underWay = slices.DeleteFunc(t.underWay, func(s *slot) bool { return s.readyAt <= now })
-	t.fetching = len(t.underWay)
-}
-
 // countCopies counts the engines and what they hold.
 func (t *Authority) countCopies() {
 	t.ready = 0
@@ -293,6 +284,3 @@
 		}
 	}
 }
-
-// minKnee is the knee of small deployments.
-const minKnee = 8
--- a/core/grant/storequeue.go
+++ b/core/grant/storequeue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"shallotgap/core/book"
+	"shallotgap/core/ident"
 )
 
 // orderStore finds the order in which the adapters that requests wait for will come from the store, most urgent first.
@@ -42,5 +43,34 @@
 	if !known {
 		turn = t.storeLength // it comes last, as far as is known
 	}
-	return time.Duration(float64(turn+1) / t.knee() * float64(t.AdapterLoad))
+	return time.Duration(float64(turn+1) / float64(t.knee()) * float64(t.AdapterLoad))
+}
+
+// storeBusy reports whether another load from the store would only slow all of them.
+func (t *Authority) storeBusy() bool {
+	return t.fetching >= t.knee()
+}
+
+// knee is the number of loads at once above which all of them take longer.
+func (t *Authority) knee() int { return max(minKnee, int(t.StoreKnee*float64(t.ready))) }
+
+// minKnee is the knee of small deployments.
+const minKnee = 8
+
+// countLoads counts the loads from the store under way.
+func (t *Authority) countLoads(now ident.Time) {
+	t.underWay = slices.DeleteFunc(t.underWay, func(s *slot) bool {
+		// A request that was sent there and not refused at once is the proof.
+		return s.proved || s.fetchedBy <= now || (s.probe != "" && now.Sub(s.probeAt) >= probeWait)
+	})
+	t.fetching = len(t.underWay)
+}
+
+// fetch counts a load from the store as under way until a request has proved it, and not for longer than the given time.
+func (t *Authority) fetch(s *slot, until ident.Time) {
+	s.fetchedBy = until
+	if !slices.Contains(t.underWay, s) {
+		t.underWay = append(t.underWay, s)
+		t.fetching = len(t.underWay)
+	}
 }
--- a/core/grant/storequeue_test.go
+++ b/core/grant/storequeue_test.go
@@ -82,3 +82,67 @@
 	}
 	assert.Equal(t, len(s.live), 1)
 }
+
+// Load: many rare adapters, and loads that take longer than was expected. Those that are late still count as under way: no
+// more are begun than the store brings at full speed, but for a quarter in the moment until the first refusals.
+func TestLateLoadsCount(t *testing.T) {
+	const (
+		engines = 16
+		knee    = engines / 2
+	)
+	s := newSim(t, engines)
+	s.knee = knee
+	s.auth.AdapterLoad = s.load / 3
+	s.run(time.Second)
+	n := 0
+	for range 40 {
+		s.traffic(2*knee/s.load.Seconds(), 100*time.Millisecond, func() string { n++; return fmt.Sprintf("rare%d", n) })
+		assert.Assert(t, s.fetching() <= knee*5/4, "%d loads at once", s.fetching())
+	}
+	s.run(6 * time.Second)
+	s.check()
+}
+
+// Load: the authority moves while adapters are on their way. The new one counts them, by their engines' reports.
+func TestNewAuthorityCountsLoads(t *testing.T) {
+	const (
+		engines = 16
+		knee    = engines / 2
+	)
+	s := newSim(t, engines)
+	s.knee = knee
+	s.run(time.Second)
+	n := 0
+	rare := func() string { n++; return fmt.Sprintf("rare%d", n) }
+	s.traffic(2*knee/s.load.Seconds(), 600*time.Millisecond, rare)
+	s.failover()
+	for range 10 {
+		s.traffic(2*knee/s.load.Seconds(), 20*time.Millisecond, rare)
+		assert.Assert(t, s.fetching() <= knee*5/4, "%d loads at once", s.fetching())
+	}
+	s.run(6 * time.Second)
+	s.check()
+}
+
+// Load: the authority moves, and heartbeats list adapters that engines have dropped since. The new one waits for the
+// engines' reports for a moment and sends nothing that would be refused.
+func TestNewAuthorityWaitsForReports(t *testing.T) {
+	s := newSim(t, 4)
+	s.reportLag = 20 * time.Millisecond
+	s.run(time.Second)
+	for k := range 4 * simSlots {
+		s.ask(fmt.Sprintf("old%d", k), 0)
+	}
+	s.run(2500 * time.Millisecond) // heartbeats list them
+	for k := range 4 * simSlots {
+		s.ask(fmt.Sprintf("new%d", k), 0)
+	}
+	s.run(400 * time.Millisecond) // they have replaced most of the old ones
+	s.failover()
+	s.bounced = 0
+	for k := range 4 * simSlots {
+		s.ask(fmt.Sprintf("old%d", k), 0)
+	}
+	s.run(50 * time.Millisecond)
+	assert.Equal(t, s.bounced, 0)
+}
