Control hosts recall the endpoints after a loss of memory; entry hosts hear of taken addresses

Ruled out: keeping what engines hold as well (it changes a hundred times a second, and their reports tell it at once). Change: a control host writes the ready endpoints to a file beside its log when they change, and reads it at its start; each counts until its next heartbeat is due, and others are told of it only then. A failing disk keeps nothing else from working.

Cause (addresses): entry hosts are not told of engines, so that an endpoint of a plain service whose address an engine took stayed in their lists. Requests went there until it was forgotten after a minute, refused each time by the other instance. Change: endpoints that lose their address are told as gone.

--- a/core/census/census.go
+++ b/core/census/census.go
@@ -57,6 +57,7 @@
 	// Forget is how long an endpoint is remembered after its last news.
 	Forget    time.Duration
 	expiredAt ident.Time
+	evicted   []Entry
 }
 
 // New returns an empty table.
@@ -168,12 +169,20 @@
 	c.at[e.Address] = left
 }
 
+// Evicted returns the endpoints that others took the addresses of since the last call.
+func (c *Census) Evicted() []Entry {
+	list := c.evicted
+	c.evicted = nil
+	return list
+}
+
 // evict marks earlier endpoints at the address of e as gone.
 func (c *Census) evict(e Entry) {
 	for _, id := range c.at[e.Address] {
 		if other := c.entries[id]; id != e.Instance.ID && other.State != Gone {
 			other.State = Gone
 			c.entries[id] = other
+			c.evicted = append(c.evicted, other)
 		}
 	}
 }
@@ -199,6 +208,16 @@
 	return e, ok
 }
 
+// Ready returns what a host that lost its memory needs to find the endpoints again: those that are ready, without what
+// changes all the time.
+func (c *Census) Ready() []Entry {
+	list := slices.DeleteFunc(c.List(), func(e Entry) bool { return e.State != Ready })
+	for i := range list {
+		list[i].Held = nil
+	}
+	return list
+}
+
 // List returns all entries in order of their ids.
 func (c *Census) List() []Entry {
 	list := make([]Entry, 0, len(c.entries))
--- a/core/quorum/cluster_test.go
+++ b/core/quorum/cluster_test.go
@@ -35,6 +35,8 @@
 	// idle is when the disk of a node has done what it was given.
 	idle map[ident.HostID]ident.Time
 	due  []happening
+	// still are the nodes that stand still, and until when.
+	still map[ident.HostID]ident.Time
 }
 
 const (
@@ -65,14 +67,14 @@
 		due := c.due
 		c.due = nil
 		for _, h := range due {
-			if h.at > c.now {
+			if h.at > c.now || c.still[h.node] > c.now {
 				c.due = append(c.due, h)
 				continue
 			}
 			c.step(h.node, h.do)
 		}
 		for _, m := range three {
-			if c.now%ident.Time(clusterTick) == 0 {
+			if c.now%ident.Time(clusterTick) == 0 && c.still[m.Host] <= c.now {
 				c.step(m.Host, func(*quorum.Node) {})
 			}
 		}
@@ -112,7 +114,7 @@
 // sure returns the nodes that know that no other one leads.
 func (c *cluster) sure() (list []ident.HostID) {
 	for _, m := range three {
-		if c.nodes[m.Host].Confirmed() {
+		if c.still[m.Host] <= c.now && c.nodes[m.Host].Confirmed() {
 			list = append(list, m.Host)
 		}
 	}
--- a/core/quorum/sure_test.go
+++ b/core/quorum/sure_test.go
@@ -41,3 +41,25 @@
 		})
 	}
 }
+
+// A leader that stands still for a while, its messages waiting, and is then the first to go on: it is not sure of its place
+// before it has heard from others again, whoever leads meanwhile. The cluster checks at every moment that only one is sure.
+func TestLeaderThatStoodStill(t *testing.T) {
+	cases := map[string]time.Duration{
+		"shorter than an election": clusterElection / 2,
+		"about an election":        clusterElection,
+		"for long":                 5 * clusterElection,
+	}
+	for name, still := range cases {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(40) {
+				c := newCluster(t, clusterConfig{seed: seed, write: time.Millisecond, delay: time.Millisecond})
+				assert.Assert(t, c.leads(5*time.Second, ""))
+				first := c.sure()[0]
+				c.still = map[ident.HostID]ident.Time{first: c.now.Add(still)}
+				c.run(still+3*clusterElection, func() bool { return false })
+				assert.Assert(t, c.leads(5*time.Second, ""), "seed %d: no leader afterwards", seed)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/io/voter/keep_test.go
@@ -0,0 +1,76 @@
+package voter
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shallotgap/core/burn"
+	"shallotgap/core/census"
+	"shallotgap/core/grant"
+	"shallotgap/core/ident"
+	"shallotgap/io/logs"
+	"shallotgap/io/metric"
+)
+
+func newVoter(t *testing.T, folder string) *Voter {
+	t.Helper()
+	common, err := logs.New(io.Discard, "c1", "error")
+	assert.NilError(t, err)
+	v, err := New(common, metric.New(burn.Targets{}), Config{Self: "c1", Folder: folder, Places: grant.Defaults()})
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, v.store.Close()) })
+	return v
+}
+
+// A control host that lost its memory finds the endpoints that were ready, until their next heartbeats are due. It tells
+// others of them once it has heard them itself, as of a change.
+func TestEndpointsAreKnownAfterARestart(t *testing.T) {
+	beat := func(id string, seq uint64, s census.State) census.Entry {
+		return census.Entry{
+			Instance: ident.Instance{ID: ident.EndpointID(id), Born: 7}, Seq: seq, Service: "llm", Address: id, State: s,
+			Models: []string{"base"}, Held: []census.Held{{Model: "base", Adapter: "a1", Version: 1}},
+		}
+	}
+	folder := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		v := newVoter(t, folder)
+		v.observe([]census.Entry{beat("g1", 4, census.Ready), beat("g2", 4, census.Draining), beat("g3", 4, census.Ready)}, true)
+		ctx, stop := context.WithCancel(t.Context())
+		go func() {
+			for f := range v.inbox {
+				f()
+			}
+		}()
+		ended := make(chan error)
+		go func() { ended <- v.keepEndpoints(ctx) }()
+		time.Sleep(2 * keepEvery) // virtual time
+		synctest.Wait()
+		stop()
+		assert.NilError(t, <-ended)
+		close(v.inbox)
+	})
+
+	v := newVoter(t, folder)
+	list := v.census.List()
+	assert.Equal(t, len(list), 2)
+	assert.Equal(t, list[0].Instance.ID, ident.EndpointID("g1"))
+	assert.Equal(t, list[1].Instance.ID, ident.EndpointID("g3"))
+	assert.DeepEqual(t, list[0].Models, []string{"base"})
+	assert.Equal(t, len(list[0].Held), 0)
+	silent := v.began.Sub(list[0].Heard)
+	assert.Equal(t, silent, v.Places.Silence-v.Places.BeatLag)
+	assert.Equal(t, len(v.heard()), 0)
+
+	v.observe([]census.Entry{beat("g1", 5, census.Ready)}, true)
+	assert.Equal(t, len(v.changed), 1)
+	assert.Equal(t, len(v.heard()), 1)
+	v.observe([]census.Entry{beat("g1", 6, census.Ready)}, true)
+	assert.Equal(t, len(v.changed), 1)
+	v.observe([]census.Entry{beat("g3", 4, census.Ready)}, true) // a late one
+	assert.Equal(t, len(v.heard()), 1)
+}
--- a/io/voter/log.go
+++ b/io/voter/log.go
@@ -109,7 +109,7 @@
 	if former != nil && reflect.DeepEqual(former.Services, v.book.Layout.Services) {
 		return
 	}
-	if list := v.forEntries(v.census.List()); len(list) > 0 {
+	if list := v.forEntries(v.heard()); len(list) > 0 {
 		v.mesh.SendAll(link.Message{Census: list}, func(h link.Hello) bool { return !h.Control })
 	}
 }
--- a/io/voter/status.go
+++ b/io/voter/status.go
@@ -140,6 +140,9 @@
 		e.Heard = now
 		former, _ := v.census.Get(e.Instance.ID)
 		news := v.census.Observe(e, now)
+		if news == census.Alive && v.recalled(former) {
+			news = census.Changed // nobody was told of it yet
+		}
 		switch news {
 		case census.Stale:
 			v.Meter.Count("shallotgap_heartbeats_total", "news", "stale")
@@ -149,12 +152,19 @@
 			v.logEndpoint(e, "unknown-service")
 			continue
 		}
-		if v.lead != nil {
-			v.lead.authority.Observe(e, now)
+		gone := v.census.Evicted()
+		for _, e := range append(gone, e) {
+			if v.lead != nil {
+				v.lead.authority.Observe(e, now)
+			}
 		}
 		if news == census.Changed {
 			v.logEndpoint(e, "changed")
 		}
+		for _, e := range gone {
+			v.logEndpoint(e, "address-taken")
+			v.spread(e)
+		}
 		if !direct {
 			continue
 		}
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -89,6 +89,7 @@
 	calls    *calls
 	lead     *leading
 	applied  ident.Index
+	began    ident.Time
 	sinceCut int // bytes applied since the last snapshot
 	lastTerm ident.Term
 	ordered  ident.Time // when this host last ordered under an earlier term
@@ -123,12 +124,13 @@
 		Common: common, Config: c, Meter: meter, store: store,
 		inbox: make(chan func(), inboxLength), disk: disk.NewQueue[diskJob](), ended: make(chan struct{}),
 		book: state, census: census.New(forgetAfter), entries: map[ident.HostID]entryHost{}, calls: newCalls(),
-		applied: stored.Snapshot.Index,
+		applied: stored.Snapshot.Index, began: clock.Boot(),
 	}
 	v.census.Await = true
 	if v.book.Layout != nil {
 		v.nameServices()
 	}
+	v.recall()
 	v.mesh = link.New(common, link.Config{Self: link.Hello{Host: c.Self, Domain: c.Domain, Control: true, Beats: true}, Handler: v, Listener: c.Listener})
 	v.node = v.newNode(stored)
 	for _, h := range c.Seeds {
@@ -156,6 +158,7 @@
 	group.Go(func() error { return v.mesh.Run(ctx) })
 	group.Go(func() error { return v.loop(ctx) })
 	group.Go(func() error { return v.writeAll(ctx) })
+	group.Go(func() error { return v.keepEndpoints(ctx) })
 	return group.Wait()
 }
 
@@ -274,7 +277,7 @@
 			v.addContact(peer.Host)
 			v.older = v.older || !peer.Beats
 		}
-		list := v.census.List()
+		list := v.heard()
 		if !peer.Control {
 			list = v.forEntries(list)
 		}
