--- a/io/voter/keep_test.go
+++ b/io/voter/keep_test.go
@@ -48,7 +48,7 @@
 		}()
 		ended := make(chan error)
 		go func() { ended <- v.keepEndpoints(ctx) }()
-		time.Sleep(2 * keepEvery) // virtual time
+		<-time.After(2 * keepEvery) // virtual time
 		synctest.Wait()
 		stop()
 		assert.NilError(t, <-ended)
