Least time to spare goes first; long prompts are estimated by their square; silent engines are not waited for

Ruled out: the engines' pace, which differs less. Change: the time to spare when a request came orders the queue; the part of the reading time for pairs of tokens is learned from prompts of 8,000 tokens and more. Besides, engines whose state is not known for 0.9 s, or whose order had no answer, are no longer waited for, and requests whose turn is far off are looked at less often.

--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -35,6 +35,7 @@
 	// fetching is the number of loads from the store under way, ready that of engines, as of this step.
 	fetching, ready int
 	loads           int     // from the store, so far
+	longReads       int     // long prompts whose time was learned from
 	underWay        []*slot // loads from the store
 	// storeTurn is the place of each adapter among those that wait for the store, storeLength their number.
 	storeTurn            map[book.AdapterRef]int
@@ -113,6 +114,7 @@
 			old.leave()
 		}
 		t.engines[e.Instance.ID] = newEngine(e, t.index, t.Remembered)
+		t.engines[e.Instance.ID].unknownAt = max(now, t.began)
 		t.sorted = nil
 	case e.State == census.Gone && len(old.running) == 0:
 		old.leave()
@@ -141,6 +143,9 @@
 
 // doubt has an engine asked what it holds, not before the given time; no order goes there until it has answered.
 func (t *Authority) doubt(e *engine, after ident.Time, cause string) {
+	if e.known {
+		e.unknownAt = t.now
+	}
 	e.known, e.reportAt = false, after
 	t.out.Notes = append(t.out.Notes, Note{Step: "doubt", Endpoint: e.entry.Instance.ID, Outcome: "asked", Inputs: cause})
 }
@@ -192,7 +197,7 @@
 		e.start(l.Ask, now, 0, 0)
 	} else {
 		unread := max(l.Ask.Prompt-e.prompts.cached(l.Ask, chain(l.Ask)), 1)
-		e.start(l.Ask, now, unread, t.readTime(unread))
+		e.start(l.Ask, now, unread, t.readTime(unread, l.Ask.Prompt))
 		e.running[l.Ask.ID].alone = false // when it was sent is not known here
 	}
 	t.placed[l.Ask.ID] = l.Instance.ID
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -15,18 +15,19 @@
 	index *holding // of all engines
 	// known is false until the engine's own report was read under this authority, and again after an order whose
 	// result is not clear.
-	known    bool
-	askedAt  ident.Time // when its report was last asked for
-	asking   bool       // its report is on the way
-	reportAt ident.Time // not before this
-	ordering bool       // an order is under way
-	orders   uint64     // accepted by the engine so far
-	orderAt  ident.Time // when the last order was answered
-	slots    map[book.AdapterRef]*slot
-	dropped  *recent // adapters that it held before and loads faster
-	prompts  *prompts
-	running  map[ID]*run
-	tokens   ident.Tokens // memory that running requests need
+	known     bool
+	unknownAt ident.Time // since when, if it is not known
+	askedAt   ident.Time // when its report was last asked for
+	asking    bool       // its report is on the way
+	reportAt  ident.Time // not before this
+	ordering  bool       // an order is under way
+	orders    uint64     // accepted by the engine so far
+	orderAt   ident.Time // when the last order was answered
+	slots     map[book.AdapterRef]*slot
+	dropped   *recent // adapters that it held before and loads faster
+	prompts   *prompts
+	running   map[ID]*run
+	tokens    ident.Tokens // memory that running requests need
 	// readUntil is when the prompts that were sent are expected to be read.
 	readUntil ident.Time
 	// planned is what the prompts of the requests need that wait for the engine.
--- a/core/grant/load_test.go
+++ b/core/grant/load_test.go
@@ -191,6 +191,26 @@
 	}
 }
 
+// Prompts of very different lengths: what each pair of tokens takes is told from what each token takes.
+func TestReadingOfLongPromptsIsLearned(t *testing.T) {
+	cases := map[string]time.Duration{"no time for pairs": 0, "as known": 1200 * time.Microsecond, "much": 5 * time.Millisecond}
+	for name, each := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newSim(t, 4)
+			s.readRate, s.pairTime = 38, each
+			s.run(time.Second)
+			for i := range 200 {
+				prompt := ident.Tokens(2000 + i%2*16_000)
+				s.askWith(grant.Ask{Ref: book.AdapterRef{Model: "base"}, Prompt: prompt, Parts: []grant.Part{{ID: fmt.Sprint(i), Tokens: prompt}}})
+				s.run(2 * time.Second)
+			}
+			off := (s.auth.PairTime - each).Abs()
+			assert.Assert(t, off < each/5+100*time.Microsecond, "learned %v of %v", s.auth.PairTime, each)
+			assert.Assert(t, s.auth.ReadRate > 30 && s.auth.ReadRate < 46, "learned %.1f of 38 tokens a ms", s.auth.ReadRate)
+		})
+	}
+}
+
 // The authority moves to another host again and again at the peak: what runs keeps its adapters, and service goes on.
 func TestAuthorityMoves(t *testing.T) {
 	s := newSim(t, 4)
--- a/core/grant/params.go
+++ b/core/grant/params.go
@@ -20,6 +20,8 @@
 	StoreKnee float64
 	// ReadRate is the number of prompt tokens read in a millisecond.
 	ReadRate float64
+	// PairTime is what reading takes besides for a million pairs of a token and an earlier one; it is learned.
+	PairTime time.Duration
 	// LoadCost is the waiting time that a load from the store may save to be worth its price.
 	LoadCost time.Duration
 	// CopyCost is what a second copy of an adapter costs besides when all places are in use.
--- a/core/grant/queue.go
+++ b/core/grant/queue.go
@@ -22,8 +22,9 @@
 	lateStep = 2 * time.Second
 )
 
-// queue returns the waiting asks that are due for a look, the most urgent first. Waiting makes up for everything else in
-// the end, so that none is starved.
+// queue returns the waiting asks that are due for a look, the most urgent first: those with the least time to spare, as
+// long prompts have it, and those that share a load with others. Waiting makes up for everything else in the end, so that
+// none is starved.
 //
 // Load: more adapters are asked for than the store can bring, as after a start or the loss of many engines.
 func (t *Authority) queue(now ident.Time) []*waiter {
@@ -45,15 +46,19 @@
 	waited := now.Sub(w.since)
 	r := time.Duration(w.ask.Priority)*classStep - waited
 	r -= time.Duration(min(t.wants[w.ask.Ref]-1, sharedMost)) * sharedStep
-	if w.ask.Target > 0 && waited+t.leastTime(w.ask) > w.ask.Target {
-		r += lateStep
+	if w.ask.Target <= 0 {
+		return r
 	}
-	return r
+	spare := w.ask.Target - t.leastTime(w.ask) // when it came
+	if waited > spare {
+		return r + lateStep
+	}
+	return r + spare
 }
 
 // leastTime returns how long it takes at least from now to the first event of a request.
 func (t *Authority) leastTime(a Ask) time.Duration {
-	need := t.readTime(a.Prompt) + firstOverhead
+	need := t.readTime(a.Prompt, a.Prompt) + firstOverhead
 	if len(t.index.at[a.Ref]) == 0 && len(t.index.lately[a.Ref]) == 0 {
 		need += t.AdapterLoad
 	}
--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -56,6 +56,7 @@
 		t.drop(w, TooLate, best.wait)
 	case best.held > 0:
 		// It waits here, where any engine can still be chosen, and not in the queue of a busier one.
+		w.nextTry = now.Add(min(max(best.held/tryPart, tryEvery), tryAtLeast))
 		t.waitOrTurnAway(w, best, now)
 	case best.load:
 		t.load(best, w, now)
@@ -79,6 +80,12 @@
 // tryEvery is how often a waiting request is looked at: a fraction of the shortest load.
 const tryEvery = 6 * time.Millisecond
 
+// A request whose turn is far off is looked at less often: in a rush hundreds wait, and each look is one at all engines.
+const (
+	tryPart    = 8                     // of the time until its turn
+	tryAtLeast = 40 * time.Millisecond // a small part of the shortest target
+)
+
 // retrySoon is the pause for callers when the layout or the endpoints are not known yet.
 const retrySoon = 500 * time.Millisecond
 
@@ -149,7 +156,7 @@
 	}
 	o := option{engine: e}
 	o.unread = max(a.Prompt-e.prompts.cached(a, w.keys), 1)
-	o.read = t.readTime(o.unread)
+	o.read = t.readTime(o.unread, a.Prompt)
 	o.cost = o.read + max(0, e.readUntil.Sub(now)) + e.planned
 	o.cost += time.Duration(float64(len(e.running)) / float64(engine.Slots) * float64(batchCost))
 	o.cost += e.pauseCost(a, o.read, t.strain(a.Service), now)
@@ -202,6 +209,8 @@
 	}
 	transit, _ := e.transit(now)
 	switch {
+	case !e.known && now.Sub(e.unknownAt) > unknownFor, e.ordering && e.resent > 0:
+		return option{}, false // nobody knows when it will answer
 	case !e.known:
 		o.held = knownWithin
 	case e.ordering:
@@ -242,6 +251,7 @@
 const (
 	reportsWithin = 60 * time.Millisecond  // some round trips after an authority begins
 	knownWithin   = 150 * time.Millisecond // a question and its answer, and those of other engines before it
+	unknownFor    = 900 * time.Millisecond // the pause before a report, and two questions
 	orderedWithin = 10 * time.Millisecond  // some round trips
 )
 
--- a/core/grant/sim_test.go
+++ b/core/grant/sim_test.go
@@ -40,6 +40,8 @@
 	begins                                    map[grant.ID]ident.Time // when the caller asked first
 	// readRate is the tokens of a prompt read in a millisecond; 0 for no time at all.
 	readRate float64
+	// pairTime is the time that reading takes besides for a million pairs of tokens.
+	pairTime time.Duration
 	// queued is true for engines that read one prompt after the other.
 	queued bool
 	// mute engines give no reports; those of the others take reportLag.
@@ -242,7 +244,7 @@
 		e.readTo = max(e.readTo, s.now).Add(time.Duration(float64(a.Prompt) / s.readRate * float64(time.Millisecond)))
 		first += e.readTo.Sub(s.now)
 	} else if s.readRate > 0 {
-		first += time.Duration(float64(a.Prompt) / s.readRate * float64(time.Millisecond))
+		first += time.Duration(float64(a.Prompt)/s.readRate*float64(time.Millisecond) + float64(a.Prompt)*float64(a.Prompt)/2e6*float64(s.pairTime))
 	}
 	if s.now.Add(first).Sub(s.begins[a.ID]) <= a.Target {
 		s.onTime++
--- a/core/grant/storequeue_test.go
+++ b/core/grant/storequeue_test.go
@@ -146,3 +146,15 @@
 	s.run(50 * time.Millisecond)
 	assert.Equal(t, s.bounced, 0)
 }
+
+// Load: no engine tells a new authority what it holds, so that nothing can be ordered. A request for an adapter that is not
+// known anywhere does not wait for that until its caller's patience ends.
+func TestSilentEnginesAreNotWaitedFor(t *testing.T) {
+	s := newSim(t, 4)
+	s.run(time.Second)
+	s.mute = true
+	s.failover()
+	s.ask("rare", 0)
+	s.run(1500 * time.Millisecond)
+	assert.Equal(t, s.refused, 1)
+}
