Requests do not wait for silent engines, nor longer than callers wait for an event

Orders to them had no answer, and the adapters that had been ordered there counted as on their way for as long as the engines' heartbeats were not missed: requests for these adapters waited there while 1 to 8 of 28 possible loads were under way (loads a second: 91, 92, 40, 15, 44 from 5 s to 9 s). Besides, a request of a route of 15 s could wait 9 s, while callers leave a stream that sends nothing for 4 s. Ruled out: the store (not busy), places (164 of 383 in use), the leader (no change between 2.8 s and the end of the time). Change: a load whose order was left unanswered no longer counts as on its way, an engine that leaves reports or orders unanswered counts as troubled, and routes of streams say how long callers wait for the next event; patience is a part of that.

--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -61,6 +61,8 @@
 	keys   []uint64
 	since  ident.Time
 	giveUp ident.Time // when the caller stops waiting
+	// patience is how long the caller waits for an event.
+	patience time.Duration
 	// preparing is the engine at which room is being made for the adapter.
 	preparing ident.EndpointID
 	// nextTry is when it is looked at again, so that many events in a row don't cost a look each.
@@ -168,10 +170,18 @@
 		t.refuse(a, BudgetSpent, a.Left/8)
 		return
 	}
-	t.waiting[a.ID] = &waiter{ask: a, keys: chain(a), since: now, giveUp: now.Add(a.Left)}
+	t.waiting[a.ID] = &waiter{ask: a, keys: chain(a), since: now, giveUp: now.Add(a.Left), patience: a.patience()}
 	t.wants[a.Ref]++
 }
 
+// patience returns how long the caller waits for an event.
+func (a Ask) patience() time.Duration {
+	if a.Silence == 0 {
+		return a.Left
+	}
+	return min(a.Left, a.Silence)
+}
+
 func (t *Authority) budgetOf(s ident.Service, now ident.Time) *Budget {
 	b := t.budgets[s]
 	if b == nil {
@@ -422,7 +432,11 @@
 }
 
 // Unreported takes that an engine gave no report.
-func (t *Authority) Unreported(i ident.Instance) { t.asked(i) }
+func (t *Authority) Unreported(i ident.Instance, now ident.Time) {
+	if e := t.asked(i); e != nil {
+		e.trouble.note(true, now)
+	}
+}
 
 // asked ends the question to an engine and returns the engine, or nil when it has gone meanwhile.
 func (t *Authority) asked(i ident.Instance) *engine {
--- a/core/grant/grant.go
+++ b/core/grant/grant.go
@@ -40,6 +40,8 @@
 	Gap time.Duration `json:"gap,omitempty"`
 	// Left is how long the caller will still wait.
 	Left time.Duration `json:"left"`
+	// Silence is how long the caller will still wait for the next event; 0 for as long as Left.
+	Silence time.Duration `json:"silence,omitempty"`
 	// Sends counts the endpoints that the request was sent to before.
 	Sends int `json:"sends,omitempty"`
 	// Avoid are endpoints at which it failed.
--- a/core/grant/orders.go
+++ b/core/grant/orders.go
@@ -62,6 +62,9 @@
 	case r == Superseded:
 		t.superseded = true
 	case r == Conflict || r == Unknown || r == Misplaced:
+		if r == Unknown {
+			e.trouble.note(true, now) // several copies of the order had no answer
+		}
 		if s != nil {
 			s.leaving = false
 		}
--- a/core/grant/params.go
+++ b/core/grant/params.go
@@ -30,7 +30,7 @@
 	CrossDomain time.Duration
 	// Settle is how long a new authority drops no adapters, while hosts tell it what runs.
 	Settle time.Duration
-	// Patience is the part of the time left that a request may wait for a place.
+	// Patience is the part of the time that a caller waits for an event for which its request may wait for a place.
 	Patience float64
 	// RetryRatio, RetryExtra and RetryWindow bound the sends after the first one of each request.
 	RetryRatio  float64
--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -44,13 +44,13 @@
 		t.drop(w, TooLarge, 0)
 		return
 	}
-	if e := t.engines[w.preparing]; e != nil && e.ordering && now.Sub(w.since) < w.ask.Left/4 {
+	if e := t.engines[w.preparing]; e != nil && e.ordering && e.resent == 0 && now.Sub(w.since) < w.ask.Left/4 {
 		return
 	}
 	w.nextTry = now.Add(tryEvery)
 	w.planFor(nil, 0)
 	best, found := t.best(w, s.Engine, now)
-	left := w.giveUp.Sub(now)
+	left := w.since.Add(w.patience).Sub(now)
 	switch {
 	case !found:
 		t.waitOrDrop(w, now)
@@ -72,7 +72,7 @@
 
 // waitOrTurnAway keeps a request that its best engine can't take yet, unless that would use up its caller's patience.
 func (t *Authority) waitOrTurnAway(w *waiter, best option, now ident.Time) {
-	if now.Sub(w.since)+best.wait > time.Duration(t.Patience*float64(w.ask.Left)) {
+	if now.Sub(w.since)+best.wait > time.Duration(t.Patience*float64(w.patience)) {
 		t.drop(w, TooLate, best.wait)
 		return
 	}
@@ -91,9 +91,9 @@
 // retrySoon is the pause for callers when the layout or the endpoints are not known yet.
 const retrySoon = 500 * time.Millisecond
 
-// waitOrDrop keeps a request that no engine can take for an eighth of its time; later it is better off elsewhere.
+// waitOrDrop keeps a request that no engine can take for an eighth of its time, and not beyond its caller's patience.
 func (t *Authority) waitOrDrop(w *waiter, now ident.Time) {
-	if now.Sub(w.since) > w.ask.Left/8 {
+	if now.Sub(w.since) > min(w.ask.Left/8, time.Duration(t.Patience*float64(w.patience))) {
 		cause := TooLate
 		if !t.anyUsable(w.ask, now) {
 			cause = NoEndpoint
@@ -170,6 +170,9 @@
 		return o.rated(w, now), true
 	}
 	s := e.slots[a.Ref]
+	if s != nil && !s.placed && (e.resent > 0 || !e.known) {
+		return option{}, false // its load was ordered and not answered
+	}
 	if s != nil && !s.leaving && t.current(a.Ref, s) {
 		o.wait = max(0, s.readyAt.Sub(now))
 		if !s.placed {
--- a/core/grant/sim_test.go
+++ b/core/grant/sim_test.go
@@ -198,7 +198,10 @@
 	s.asked++
 	s.nextID++
 	a.ID, a.Request = grant.ID(fmt.Sprintf("%s/%d", s.t.Name(), s.nextID)), fmt.Sprint(s.nextID)
-	a.Domain, a.Service, a.Target, a.Left = "north", service, time.Second, 5*time.Second
+	a.Domain, a.Service, a.Target = "north", service, time.Second
+	if a.Left == 0 {
+		a.Left = 5 * time.Second
+	}
 	if a.Output == 0 {
 		a.Output = 100
 	}
@@ -348,7 +351,7 @@
 func (s *sim) report(t grant.Target) {
 	e := s.engines[t.Instance.ID]
 	if e == nil || s.mute {
-		s.after(200*time.Millisecond, func() { s.auth.Unreported(t.Instance) })
+		s.after(200*time.Millisecond, func() { s.auth.Unreported(t.Instance, s.now) })
 		return
 	}
 	r := grant.Report{Orders: e.orders, Models: e.entry.Models}
--- a/core/grant/storequeue_test.go
+++ b/core/grant/storequeue_test.go
@@ -185,3 +185,36 @@
 	s.check()
 	assert.Equal(t, s.onTime, asked, "refused %v", s.causes)
 }
+
+// Load: the store can't bring all adapters in time, and callers of streams leave when no event comes, long before their time
+// is over. They are told while they are still there.
+func TestTurnedAwayBeforeCallersLeave(t *testing.T) {
+	const silence = 3 * time.Second
+	s := newSim(t, 8)
+	s.knee = 8
+	s.run(time.Second)
+	n := 0
+	for range 200 {
+		n++
+		s.askWith(grant.Ask{Ref: book.AdapterRef{Model: "base", Adapter: ident.Adapter(fmt.Sprint("rare", n))}, Prompt: 800, Left: 15 * time.Second, Silence: silence})
+	}
+	s.run(silence)
+	s.check()
+	assert.Equal(t, len(s.live)+s.served+s.refused, s.asked, "some still wait")
+	assert.Assert(t, s.refused > 0)
+}
+
+// Load: an engine goes dark while others serve. Requests for which an adapter was ordered there go elsewhere once the order is
+// left unanswered, and do not wait for it until their callers' patience ends.
+func TestDarkEngineIsNotWaitedFor(t *testing.T) {
+	s := newSim(t, 4)
+	s.run(time.Second)
+	s.crash("e0")
+	const asked = 12
+	for k := range asked {
+		s.ask(fmt.Sprint("rare", k), 0)
+	}
+	s.run(1500 * time.Millisecond)
+	s.check()
+	assert.Equal(t, s.served+len(s.live), asked, "refused %v", s.causes)
+}
--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -44,6 +44,9 @@
 	Target time.Duration `json:"target,omitempty"`
 	// MaxGap is the longest pause between two events that still counts as on time.
 	MaxGap time.Duration `json:"max-gap,omitempty"`
+	// Silence is how long callers of a stream wait for its next event, the first one too, before they leave; 0 for as long
+	// as they wait at all.
+	Silence time.Duration `json:"silence,omitempty"`
 	// Priority is 0 for the most urgent requests.
 	Priority int     `json:"priority,omitempty"`
 	Shares   []Share `json:"shares"`
--- a/io/front/events.go
+++ b/io/front/events.go
@@ -118,6 +118,14 @@
 	e.lastAt = now
 }
 
+// silence returns how long the caller will still wait for the next event; 0 for as long as it waits at all.
+func (e *events) silence(now ident.Time) time.Duration {
+	if e.x.route.Silence == 0 {
+		return 0
+	}
+	return max(e.x.route.Silence-now.Sub(max(e.x.began, e.lastAt)), 1)
+}
+
 // lastID returns the id of the last event in a piece of a stream.
 func lastID(piece []byte) (string, bool) {
 	id, found := "", false
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -36,6 +36,7 @@
 	ran := 0
 	for range maxTries {
 		a.Left = x.left()
+		a.Silence = flow.silence(clock.Boot())
 		a.Sends = x.sends
 		q, reply := x.acquire(ctx, a)
 		if reply.Place == nil {
