Control hosts that are cut off from the leader confirm no heartbeats

Endpoints went on to announce themselves to these and were confirmed, so that the leader heard nothing of a third of the engines; after 4.5 s it used them no more, and requests for what they held were turned away although the store and the other engines had room (133 of 135 refusals from 6.5 s to 10 s had no engine at all to go to; seen once refusals told what they had waited for, which they do from now on). Change: a control host that has known no leader for 1.2 s takes an endpoint's word but does not confirm it; the endpoint then tells another host. An engine that was known and is in doubt is not waited for.

--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -68,6 +68,8 @@
 	// nextTry is when it is looked at again, so that many events in a row don't cost a look each.
 	nextTry ident.Time
 	rank    time.Duration
+	// last describes what it waited for in vain.
+	last string
 	// plan is the engine that it waits for, and planned what its prompt needs there.
 	plan    *engine
 	planned time.Duration
@@ -145,9 +147,6 @@
 
 // doubt has an engine asked what it holds, not before the given time; no order goes there until it has answered.
 func (t *Authority) doubt(e *engine, after ident.Time, cause string) {
-	if e.known {
-		e.unknownAt = t.now
-	}
 	e.known, e.reportAt = false, after
 	t.out.Notes = append(t.out.Notes, Note{Step: "doubt", Endpoint: e.entry.Instance.ID, Outcome: "asked", Inputs: cause})
 }
@@ -167,7 +166,7 @@
 	if a.Sends == 0 {
 		b.Asked(now)
 	} else if a.Sends >= maxSends || !b.Spend(now) {
-		t.refuse(a, BudgetSpent, a.Left/8)
+		t.refuse(a, BudgetSpent, a.Left/8, "")
 		return
 	}
 	t.waiting[a.ID] = &waiter{ask: a, keys: chain(a), since: now, giveUp: now.Add(a.Left), patience: a.patience()}
@@ -299,9 +298,9 @@
 	t.out.Replies = append(t.out.Replies, Routed{Host: a.Host, Reply: r})
 }
 
-func (t *Authority) refuse(a Ask, c Cause, after time.Duration) {
+func (t *Authority) refuse(a Ask, c Cause, after time.Duration, best string) {
 	t.reply(a, Reply{ID: a.ID, Cause: c, After: after})
-	t.note("refuse", a, "", string(c), fmt.Sprintf("left=%dms sends=%d waiting=%d adapter=%s %s", a.Left.Milliseconds(), a.Sends, len(t.waiting), a.Ref.Adapter, t.overview(a.Service)))
+	t.note("refuse", a, "", string(c), fmt.Sprintf("left=%dms sends=%d waiting=%d adapter=%s %s%s", a.Left.Milliseconds(), a.Sends, len(t.waiting), a.Ref.Adapter, best, t.overview(a.Service)))
 }
 
 // overviewLife is how long a count of all engines is used again: refusals come in hundreds.
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -16,7 +16,8 @@
 	// known is false until the engine's own report was read under this authority, and again after an order whose
 	// result is not clear.
 	known     bool
-	unknownAt ident.Time // since when, if it is not known
+	reported  bool       // it has reported under this authority
+	unknownAt ident.Time // when the authority first heard of it
 	askedAt   ident.Time // when its report was last asked for
 	asking    bool       // its report is on the way
 	reportAt  ident.Time // not before this
@@ -111,7 +112,7 @@
 // learn takes an engine's own report.
 func (e *engine) learn(r Report, now ident.Time, p Params) {
 	e.orders = r.Orders
-	e.known = true
+	e.known, e.reported = true, true
 	e.entry.Models = r.Models
 	seen := map[book.AdapterRef]bool{}
 	for _, h := range r.Held {
--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -55,6 +55,7 @@
 	case !found:
 		t.waitOrDrop(w, now)
 	case best.wait+best.read > left:
+		w.last = best.text()
 		t.drop(w, TooLate, best.wait)
 	case best.held > 0:
 		// It waits here, where any engine can still be chosen, and not in the queue of a busier one.
@@ -72,7 +73,9 @@
 
 // waitOrTurnAway keeps a request that its best engine can't take yet, unless that would use up its caller's patience.
 func (t *Authority) waitOrTurnAway(w *waiter, best option, now ident.Time) {
+	w.last = ""
 	if now.Sub(w.since)+best.wait > time.Duration(t.Patience*float64(w.patience)) {
+		w.last = best.text()
 		t.drop(w, TooLate, best.wait)
 		return
 	}
@@ -113,7 +116,12 @@
 
 func (t *Authority) drop(w *waiter, c Cause, after time.Duration) {
 	t.forget(w.ask.ID)
-	t.refuse(w.ask, c, after)
+	t.refuse(w.ask, c, after, w.last)
+}
+
+// text describes an option for logs.
+func (o option) text() string {
+	return fmt.Sprintf("best=%s wait=%dms held=%dms cost=%dms load=%t ", o.engine.entry.Instance.ID, o.wait.Milliseconds(), o.held.Milliseconds(), o.cost.Milliseconds(), o.load)
 }
 
 func (t *Authority) grant(o option, w *waiter, now ident.Time) {
@@ -225,10 +233,10 @@
 	}
 	transit, _ := e.transit(now)
 	switch {
-	case !e.known && now.Sub(e.unknownAt) > unknownFor, e.ordering && e.resent > 0:
-		return option{}, false // nobody knows when it will answer
+	case !e.known && (e.reported || now.Sub(e.unknownAt) > unknownFor), e.ordering && e.resent > 0:
+		return option{}, false // it is in doubt, or leaves questions unanswered
 	case !e.known:
-		o.held = knownWithin
+		o.held = knownWithin // its first report is on the way
 	case e.ordering:
 		o.held = orderedWithin
 	case transit >= t.InTransit:
--- a/core/grant/storequeue_test.go
+++ b/core/grant/storequeue_test.go
@@ -218,3 +218,36 @@
 	s.check()
 	assert.Equal(t, s.served+len(s.live), asked, "refused %v", s.causes)
 }
+
+// Load: an engine that was known leaves its orders unanswered, and the others are busy. A request for another adapter has it
+// loaded at a busy one instead of waiting for the state of the silent one.
+func TestDoubtfulEngineIsNotWaitedFor(t *testing.T) {
+	s := newSim(t, 2)
+	s.readRate, s.queued = 38, true
+	s.run(time.Second)
+	s.crash("e0")
+	busy := grant.Ask{Ref: book.AdapterRef{Model: "base", Adapter: "hot"}, Prompt: 12_000, Output: 50, Gap: 400 * time.Millisecond}
+	doubted := func() bool {
+		for _, n := range s.notes {
+			if n.Step == "doubt" && n.Endpoint == "e0" {
+				return true
+			}
+		}
+		return false
+	}
+	for k := range 60 {
+		if k == 0 || k > 9 && k < 15 {
+			s.askWith(busy)
+		}
+		s.ask("rare0", 0)
+		s.run(50 * time.Millisecond)
+		if doubted() {
+			break
+		}
+	}
+	assert.Assert(t, doubted())
+	s.run(50 * time.Millisecond)
+	s.ask("rare1", 0)
+	s.run(100 * time.Millisecond)
+	assert.Assert(t, s.engines["e1"].adapters["rare1"] != nil, "the request waits for the silent engine")
+}
--- a/io/voter/status.go
+++ b/io/voter/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -118,14 +119,38 @@
 	}
 }
 
-// Announce takes a heartbeat of an endpoint.
+// Announce takes a heartbeat of an endpoint. An error means that no leader may learn of it from this host, so that the
+// endpoint should tell another one.
 func (v *Voter) Announce(ctx context.Context, e census.Entry) error {
-	return v.view(ctx, func() { v.observe([]census.Entry{e}, true) })
+	return v.told(ctx, func() { v.observe([]census.Entry{e}, true) })
 }
 
-// Leave takes the word of an endpoint that it is gone.
+// told runs f in the loop and reports whether this host follows a leader that can be told of what f learned.
+func (v *Voter) told(ctx context.Context, f func()) error {
+	alone := false
+	err := v.view(ctx, func() {
+		f()
+		alone = v.alone(clock.Boot())
+	})
+	if err == nil && alone {
+		return errAlone
+	}
+	return err
+}
+
+// alone reports whether this host has known no leader for longer than elections take.
+func (v *Voter) alone(now ident.Time) bool {
+	return v.leaderless != 0 && now.Sub(v.leaderless) > aloneAfter
+}
+
+// aloneAfter is two of the longest election timeouts; more failed elections in a row are rare.
+const aloneAfter = 4 * election
+
+var errAlone = errors.New("this control host knows no leader")
+
+// Leave takes the word of an endpoint that it is gone; errors are those of Announce.
 func (v *Voter) Leave(ctx context.Context, i ident.Instance) error {
-	return v.view(ctx, func() {
+	return v.told(ctx, func() {
 		if e, ok := v.census.Leave(i.ID, i.Born, clock.Boot()); ok {
 			v.logEndpoint(e, "left")
 			v.spread(e)
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -101,6 +101,8 @@
 	statusAt ident.Time
 	latest   layout.Change // the change that brought the layout in force
 	lastRole quorum.Role
+	// leaderless is since when this host knows no leader; 0 while it does.
+	leaderless ident.Time
 }
 
 // entryHost is an entry host that is linked.
@@ -208,6 +210,7 @@
 func (v *Voter) tick() {
 	now := clock.Boot()
 	v.node.Tick(now)
+	v.noteLeader(now)
 	v.census.Expire(now)
 	v.flushCensus()
 	v.calls.expire(now)
@@ -221,6 +224,17 @@
 	}
 }
 
+// noteLeader notes since when no leader is known.
+func (v *Voter) noteLeader(now ident.Time) {
+	leader, _ := v.node.Leader()
+	switch {
+	case leader != "":
+		v.leaderless = 0
+	case v.leaderless == 0:
+		v.leaderless = now
+	}
+}
+
 // settle carries out what the log and the authority want after an event.
 func (v *Voter) settle(ctx context.Context) {
 	v.drainLog()
