--- a/core/grant/storequeue_test.go
+++ b/core/grant/storequeue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -37,7 +38,7 @@
 }
 
 // Load: many rare adapters, and loads that take longer than was expected. Those that are late still count as under way: no
-// more are begun than the store brings at full speed, but for a quarter in the moment until the first refusals.
+// more are begun than the store brings at full speed, but for those of the moment until the first refusals, which take 15 ms.
 func TestLateLoadsCount(t *testing.T) {
 	const (
 		engines = 16
@@ -46,11 +47,13 @@
 	s := newSim(t, engines)
 	s.knee = knee
 	s.auth.AdapterLoad = s.load / 3
+	const refusal = 15 * time.Millisecond
+	most := knee + int(math.Ceil(knee*float64(refusal)/float64(s.auth.AdapterLoad)))
 	s.run(time.Second)
 	n := 0
 	for range 40 {
 		s.traffic(2*knee/s.load.Seconds(), 100*time.Millisecond, func() string { n++; return fmt.Sprintf("rare%d", n) })
-		assert.Assert(t, s.fetching() <= knee*5/4, "%d loads at once", s.fetching())
+		assert.Assert(t, s.fetching() <= most, "%d loads at once, %d allowed", s.fetching(), most)
 	}
 	s.run(6 * time.Second)
 	s.check()
@@ -71,7 +74,7 @@
 	s.failover()
 	for range 10 {
 		s.traffic(2*knee/s.load.Seconds(), 20*time.Millisecond, rare)
-		assert.Assert(t, s.fetching() <= knee*5/4, "%d loads at once", s.fetching())
+		assert.Assert(t, s.fetching() <= knee, "%d loads at once", s.fetching())
 	}
 	s.run(6 * time.Second)
 	s.check()
--- a/core/grant/waiting_test.go
+++ b/core/grant/waiting_test.go
@@ -43,9 +43,10 @@
 	assert.Equal(t, s.refused, 1)
 }
 
-// Load: more long prompts come for a popular adapter than its engine can read in time, while the other engine holds adapters
-// in frequent use. The prompts that would be late are worth a place there.
-func TestCopyForRequestsThatWouldBeLate(t *testing.T) {
+// longPromptsForOne has so many long prompts come at once for a popular adapter, while the other engine holds adapters in
+// frequent use, and returns how many were in time. One engine reads four of them in time.
+func longPromptsForOne(t *testing.T, count int) int {
+	t.Helper()
 	s := newSim(t, 2)
 	s.readRate, s.queued = 38, true
 	s.run(time.Second)
@@ -61,13 +62,23 @@
 	}
 	s.run(2 * time.Second)
 	s.onTime = 0
-	const asked = 5 // one engine reads four of them in time
-	for range asked {
+	for range count {
 		s.askWith(grant.Ask{Ref: book.AdapterRef{Model: "base", Adapter: "hot"}, Prompt: 8000, Output: 50, Gap: 400 * time.Millisecond})
 	}
 	s.run(4 * time.Second)
 	s.check()
-	assert.Equal(t, s.onTime, asked, "refused %v", s.causes)
+	return s.onTime
+}
+
+// Load: one long prompt more than an engine can read in time. The one that would be late is worth a place elsewhere.
+func TestCopyForRequestsThatWouldBeLate(t *testing.T) {
+	assert.Equal(t, longPromptsForOne(t, 5), 5)
+}
+
+// Load: two long prompts more than an engine can read in time. While room is made elsewhere for the first of them, the second
+// waits for the same place.
+func TestRoomBeingMadeCounts(t *testing.T) {
+	assert.Equal(t, longPromptsForOne(t, 6), 6)
 }
 
 // Load: an engine goes dark while others serve. Requests for which an adapter was ordered there go elsewhere once the order is
