Log how long operators' calls wait and take, and how long a host stood still

Change: the line of an acknowledged order has the caller's address and how long it took. A call that waited unread on its connection, or took, over 0.25 s has a line of its own (slow-call) with both times. A host that stood still says for how long (paused). Three histograms hold the same times.

--- a/io/site/site.go
+++ b/io/site/site.go
@@ -87,6 +87,7 @@
 	}
 	common.Log.WithField("file", c.File).WithField("domain", c.Domain).WithField("seeds", len(c.Seeds)).WithField("found", c.Bootstrap).Info("started")
 	group.Go(func() error { return h.watchSettings(ctx, s.Reload) })
+	group.Go(func() error { return h.watchPauses(ctx) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -143,7 +144,7 @@
 	}
 	h.voter = v
 	h.group.Go(func() error { return v.Run(ctx) })
-	if _, err := h.serve(ctx, h.Control, h.edge.Control(h.Common, v)); err != nil {
+	if _, err := h.serveWith(ctx, h.Control, h.measuredServer(h.edge.Control(h.Common, v))); err != nil {
 		return err
 	}
 	if h.Directory == "" {
