Take operators' and endpoints' calls on every host

Cause: only the control hosts took orders. A client tries the hosts that do at random and waits a second for each. With one of three standing still every third try was lost, several in a row often enough; a lost acknowledgement starts the search again. The class: a call depends on few hosts, one of which may be silent, while other hosts that could pass it on take none. Version orders, reads, heartbeats and deregistrations had the same cause.

Since the platform may now name entry hosts as seeds, these accept links and tell which control hosts they know; only hosts with a disk found the log.

Why it works: one still host is one of ten, not one of three.

--- a/core/quorum/member.go
+++ b/core/quorum/member.go
@@ -36,6 +36,15 @@
 	return slices.DeleteFunc(targets, func(h ident.HostID) bool { return h == n.Self })
 }
 
+// DropContact removes a host that turned out to have no data folder from the contacts and the founders.
+func (n *Node) DropContact(h ident.HostID) {
+	drop := func(list []ident.HostID) []ident.HostID {
+		return slices.DeleteFunc(slices.Clone(list), func(known ident.HostID) bool { return known == h })
+	}
+	n.Contacts, n.Founders = drop(n.Contacts), drop(n.Founders)
+	n.bootstrap()
+}
+
 // stepHello records the disk of another host, which may then be added as a learner or take part in the initial membership.
 func (n *Node) stepHello(m Message) {
 	n.hellos[m.From] = hello{disk: m.Disk, knownDisk: m.KnownDisk, empty: len(m.Members) == 0}
--- a/core/quorum/safety_test.go
+++ b/core/quorum/safety_test.go
@@ -99,3 +99,41 @@
 		n.Written(r.Seq)
 	}
 }
+
+// The initial membership consists of the founders with a data folder, and waits for each of them.
+func TestFoundersWithoutDataFolder(t *testing.T) {
+	hello := func(h ident.HostID) func(*quorum.Node) {
+		return func(n *quorum.Node) { n.Step(messageFrom(h, quorum.Message{Kind: quorum.Hello, KnownDisk: "da"})) }
+	}
+	drop := func(h ident.HostID) func(*quorum.Node) { return func(n *quorum.Node) { n.DropContact(h) } }
+	cases := map[string]struct {
+		steps []func(*quorum.Node)
+		want  []ident.HostID
+	}{
+		"all have one":              {steps: []func(*quorum.Node){hello("b"), hello("c")}, want: []ident.HostID{"a", "b", "c"}},
+		"one is silent":             {steps: []func(*quorum.Node){hello("b")}},
+		"one has none":              {steps: []func(*quorum.Node){hello("b"), drop("c")}, want: []ident.HostID{"a", "b"}},
+		"one has none, known first": {steps: []func(*quorum.Node){drop("c"), hello("b")}, want: []ident.HostID{"a", "b"}},
+		"one has none, one silent":  {steps: []func(*quorum.Node){drop("c")}},
+		"only this host has one":    {steps: []func(*quorum.Node){drop("b"), drop("c")}, want: []ident.HostID{"a"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			contacts := []ident.HostID{"a", "b", "c"}
+			n := quorum.New(quorum.Settings{
+				Self: "a", Disk: "da", Founders: contacts, Contacts: contacts, HeartbeatInterval: 100 * time.Millisecond,
+				ElectionTimeout: 400 * time.Millisecond, MaxBatch: 64, Rand: rand.New(rand.NewPCG(1, 1)),
+			}, quorum.NewLog(quorum.Snapshot{}, nil), quorum.HardState{}, 0)
+			for _, step := range c.steps {
+				step(n)
+			}
+			members, _ := n.Members()
+			var hosts []ident.HostID
+			for _, m := range members {
+				hosts = append(hosts, m.Host)
+			}
+			assert.DeepEqual(t, hosts, c.want)
+			assert.DeepEqual(t, contacts, []ident.HostID{"a", "b", "c"}) // the caller's list is not modified
+		})
+	}
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 	"shallotgap/core/ident"
 	"shallotgap/core/layout"
 	"shallotgap/core/pick"
+	"shallotgap/io/calls"
 	"shallotgap/io/clock"
 	"shallotgap/io/dial"
 	"shallotgap/io/link"
@@ -85,8 +87,12 @@
 type Config struct {
 	Self   ident.HostID
 	Domain ident.DomainID
-	// Seeds are the control hosts to link to first.
+	// Seeds are the hosts to link to first.
 	Seeds []ident.HostID
+	// Links accepts links from other hosts, whose settings may name this host as a seed; nil if it accepts none. LinkAddress is
+	// the address at which they reach it.
+	Links       net.Listener
+	LinkAddress ident.HostID
 	// Address is the address for callers that this host announces.
 	Address string
 	Dialect Dialect
@@ -122,6 +128,7 @@
 type Front struct {
 	logs.Common
 	Config
+	*calls.Forwarder
 	Meter *metric.Meter
 
 	// Server accepts callers' requests; it must be set before the host drains.
@@ -140,6 +147,7 @@
 	versionChanges uint64     // number of adapter version changes applied
 	fetchedAt      ident.Time // time of the last fetch; 0 once its response has arrived
 	controlStatus  map[ident.HostID]link.Status
+	controlHosts   []ident.HostID // from controlStatus; never modified in place
 	leader         ident.HostID
 	term           ident.Term
 	entryHosts     int // number of ready entry hosts, from the last status
@@ -159,7 +167,8 @@
 		lastServed: map[book.AdapterRef]servedPlace{}, retryBudgets: map[ident.Service]*grant.Budget{}, sendCounts: map[ident.Service]*grant.Budget{}, startedAt: clock.Boot(), entryHosts: 1,
 	}
 	f.router.Store(layout.NewRouter(nil))
-	f.mesh = link.New(common, link.Config{Self: link.Hello{Host: c.Self, Domain: c.Domain}, Handler: f, InitialMessages: f.initialMessages})
+	f.Forwarder = calls.New(calls.Config{Send: func(to ident.HostID, m link.Message) bool { return f.mesh.Send(to, m) }})
+	f.mesh = link.New(common, link.Config{Self: link.Hello{Host: c.Self, Domain: c.Domain, Address: c.LinkAddress}, Handler: f, Listener: c.Links, InitialMessages: f.initialMessages})
 	for _, h := range c.Seeds {
 		f.mesh.Target(h)
 	}
@@ -191,6 +200,7 @@
 	now := clock.Boot()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.Follow(f.leader, now)
 	f.census.Expire(now)
 	f.picker.Forget(now.Add(-silentEndpointExpiry))
 	f.expireLastServed(now)
@@ -202,7 +212,7 @@
 // Ready reports whether the host accepts new callers: it has a layout and is not draining.
 func (f *Front) Ready() bool { return f.router.Load().Layout != nil && !f.Draining() }
 
-// Reseed adds control hosts from changed settings to the hosts to link to.
+// Reseed adds hosts from changed settings, or control hosts from a status, to the hosts to link to.
 func (f *Front) Reseed(seeds []ident.HostID) {
 	for _, h := range seeds {
 		f.mesh.Target(h)
@@ -217,61 +227,6 @@
 // sendPresence announces this host to all linked control hosts.
 func (f *Front) sendPresence() { f.mesh.SendAll(f.presence(), func(link.Hello) bool { return true }) }
 
-// initialMessages returns the messages to send on a new link.
-func (f *Front) initialMessages() []link.Message { return []link.Message{f.presence()} }
-
-// LinkUp implements link.Handler; it does nothing because the control host sends its status next.
-func (f *Front) LinkUp(link.Hello) {}
-
-// LinkDown drops the status of a control host, and the leader if that host was leading.
-func (f *Front) LinkDown(peer link.Hello) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.controlStatus, peer.Host)
-	if f.leader == peer.Host {
-		f.leader = ""
-		f.Log.WithField("step", "authority").WithField("peer", peer.Host).WithField("term", f.term).Warn("authority-lost")
-	}
-}
-
-// Receive handles a message from a control host.
-func (f *Front) Receive(from link.Hello, m link.Message) {
-	switch {
-	case m.Status != nil:
-		f.handleStatus(from.Host, *m.Status)
-	case m.Census != nil:
-		f.handleCensus(m.Census)
-	case m.Change != nil:
-		f.handleLayoutChange(from.Host, *m.Change)
-	case m.Newest != nil:
-		f.handleNewestVersions(*m.Newest)
-	case m.Reply != nil:
-		f.handleGrantReply(from.Host, *m.Reply)
-	}
-}
-
-// handleStatus links to the control hosts that the status lists, follows a change of the leader and fetches newer state.
-func (f *Front) handleStatus(from ident.HostID, s link.Status) {
-	for _, h := range s.Control {
-		f.mesh.Target(h)
-	}
-	f.mu.Lock()
-	f.controlStatus[from] = s
-	f.entryHosts = max(1, s.EntryHosts)
-	newLeader := s.Leads && s.Term >= f.term && (f.leader != from || f.term != s.Term)
-	if newLeader {
-		f.leader, f.term = from, s.Term
-	} else if f.leader == from && !s.Leads {
-		f.leader = ""
-	}
-	f.mu.Unlock()
-	if newLeader {
-		f.Log.WithField("step", "authority").WithField("peer", from).WithField("term", s.Term).Info("authority")
-		f.syncAuthority(from, s.Term)
-	}
-	f.fetchIfBehind(from, s)
-}
-
 // fetchIfBehind requests the layout and adapter versions from a control host that has newer ones than this host.
 func (f *Front) fetchIfBehind(from ident.HostID, s link.Status) {
 	current := f.layoutVersion()
--- a/io/link/mesh.go
+++ b/io/link/mesh.go
@@ -77,11 +77,11 @@
 	return nil
 }
 
-// Target adds a control host to the hosts that the mesh dials, and redials whenever the link is lost.
+// Target adds a host to the hosts that the mesh dials, and redials whenever the link is lost.
 func (m *Mesh) Target(h ident.HostID) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if _, known := m.targets[h]; known || h == m.Self.Host {
+	if _, known := m.targets[h]; known || h == m.Self.Host || h == m.Self.Address {
 		return
 	}
 	if m.ctx == nil {
--- a/io/link/message.go
+++ b/io/link/message.go
@@ -20,6 +20,8 @@
 	Host    ident.HostID   `json:"host"`
 	Domain  ident.DomainID `json:"domain"`
 	Control bool           `json:"control,omitempty"`
+	// Address is the address at which an entry host accepts links; empty if it accepts none.
+	Address ident.HostID `json:"address,omitempty"`
 	// ShortHeartbeats is true for a control host that accepts heartbeats in the short form; hosts of earlier versions do not.
 	ShortHeartbeats bool `json:"beats,omitempty"`
 }
@@ -41,10 +43,11 @@
 	Change          *layout.Change          `json:"change,omitempty"`
 	Newest          *Newest                 `json:"newest,omitempty"`
 	Call            *Call                   `json:"call,omitempty"`
+	EndpointCall    *EndpointCall           `json:"endpoint-call,omitempty"`
 	Answer          *Answer                 `json:"answer,omitempty"`
 }
 
-// Status is a control host's role and the versions of the state that it has applied.
+// Status is a control host's role and the versions of the state that it has applied. An entry host sends only Control.
 type Status struct {
 	Leader ident.HostID `json:"leader,omitempty"`
 	Term   ident.Term   `json:"term,omitempty"`
@@ -89,7 +92,7 @@
 	List    []book.Newest `json:"list"`
 }
 
-// Call is an operator's command or read that a control host forwards to the leader.
+// Call is an operator's command or read that a host forwards to the leader.
 type Call struct {
 	ID      uint64       `json:"id"`
 	Command book.Command `json:"command"`
@@ -97,10 +100,18 @@
 	Read bool `json:"read,omitempty"`
 }
 
-// Answer is the leader's response to a Call.
+// EndpointCall is an endpoint's heartbeat or deregistration that an entry host forwards to the leader; one field is set.
+type EndpointCall struct {
+	ID        uint64          `json:"id"`
+	Heartbeat *census.Entry   `json:"heartbeat,omitempty"`
+	Left      *ident.Instance `json:"left,omitempty"`
+}
+
+// Answer is the leader's response to a Call or an EndpointCall.
 type Answer struct {
 	ID uint64 `json:"id"`
-	// Done is true when a majority has committed the command, or when Source is the newest layout.
+	// Done is true when a majority has committed the command, when Source is the newest layout, or when the leader has recorded
+	// the heartbeat or deregistration.
 	Done  bool   `json:"done,omitempty"`
 	Cause string `json:"cause,omitempty"`
 	// Source is the operator's source text of the layout that a read requested.
--- a/io/site/config.go
+++ b/io/site/config.go
@@ -19,7 +19,7 @@
 	File   string
 	Name   string
 	Domain ident.DomainID
-	// Seeds are the link addresses of the control hosts to which the host connects first.
+	// Seeds are the link addresses of the hosts to which the host connects first.
 	Seeds []ident.HostID
 	// Bootstrap is true at the first start of the whole deployment, when all disks are empty.
 	Bootstrap bool
@@ -27,12 +27,12 @@
 	Folder string
 	// Voters is the wanted number of voters among the control hosts.
 	Voters int
-	// Links is the address at which a control host accepts links from other hosts. It is also the host's ID.
+	// Links is the address at which the host accepts links from other hosts. It is also the ID of a control host.
 	Links Listen
 	// BindLinks is the local address for links if it differs from Links, for example behind port forwarding.
 	BindLinks Listen
-	// Callers serves callers' requests and Ready the readiness probe of an entry host. Control serves operators and
-	// endpoints and Directory the address list for callers, both on a control host.
+	// Callers serves callers' requests and Ready the readiness probe of an entry host. Control serves operators and endpoints
+	// on either kind of host. Directory serves the address list for callers on a control host.
 	Callers, Ready, Control, Directory Listen
 	// Metrics serves the metrics of either kind of host.
 	Metrics Listen
@@ -69,14 +69,21 @@
 	}
 }
 
+// runsControlHost reports whether the process runs a control host. An entry host takes the calls of operators and endpoints
+// without one.
+func (c Config) runsControlHost() bool { return c.Control != "" && c.Folder != "" }
+
 // Check returns an error if the settings are invalid.
 func (c Config) Check() error {
 	if c.Callers == "" && c.Control == "" {
 		return errors.New("neither callers nor operators are served")
 	}
-	if c.Control != "" && c.Folder == "" {
+	if c.Callers == "" && c.Folder == "" {
 		return errors.New("a control host needs a data folder")
 	}
+	if c.Directory != "" && !c.runsControlHost() {
+		return errors.New("only a control host, which has a data folder, serves the directory")
+	}
 	for name, l := range map[string]Listen{"links": c.Links, "callers": c.Callers, "ready": c.Ready, "control": c.Control, "directory": c.Directory} {
 		if l == "" {
 			continue
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -13,9 +13,12 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"shallotgap/core/book"
 	"shallotgap/core/burn"
+	"shallotgap/core/census"
 	"shallotgap/core/grant"
 	"shallotgap/core/ident"
+	"shallotgap/core/layout"
 	"shallotgap/io/front"
 	"shallotgap/io/logs"
 	"shallotgap/io/metric"
@@ -28,7 +31,7 @@
 	Engines func(common logs.Common, holder string) voter.Engines
 	// Control handles the calls of operators and endpoints. Directory returns entry host addresses to callers, which may
 	// cache them for ttl.
-	Control   func(common logs.Common, v *voter.Voter) http.Handler
+	Control   func(common logs.Common, c Controller) http.Handler
 	Directory func(common logs.Common, v *voter.Voter, ttl time.Duration) http.Handler
 	// Ready handles the readiness probe of an entry host.
 	Ready func(ready func() bool) http.Handler
@@ -36,6 +39,25 @@
 	Reload func() (Config, error)
 }
 
+// Controller carries out the calls of operators and endpoints. Control hosts and entry hosts implement it.
+type Controller interface {
+	// SetLayout puts a validated configuration in force, unless one with the same or a higher version is in force already.
+	SetLayout(ctx context.Context, l *layout.Layout) error
+	// SetNewest records the newest version of the weights of an adapter or a model.
+	SetNewest(ctx context.Context, n book.Newest) error
+	// Layout returns the text of the configuration in force, as an operator sent it.
+	Layout(ctx context.Context) ([]byte, error)
+	// Announce handles an endpoint's heartbeat. After an error, the endpoint should send the heartbeat to another host.
+	Announce(ctx context.Context, e census.Entry) error
+	// Leave deregisters an endpoint.
+	Leave(ctx context.Context, i ident.Instance) error
+}
+
+var (
+	_ Controller = (*voter.Voter)(nil)
+	_ Controller = (*front.Front)(nil)
+)
+
 // Signals are channels that request a stop of the host or a reload of its settings.
 type Signals struct {
 	Stop   <-chan struct{}
@@ -103,7 +125,7 @@
 }
 
 func (h *host) start(ctx context.Context) error {
-	if h.Control != "" {
+	if h.runsControlHost() {
 		if err := h.startControlHost(ctx); err != nil {
 			return err
 		}
@@ -127,9 +149,9 @@
 }
 
 func (h *host) startControlHost(ctx context.Context) error {
-	links, err := net.Listen("tcp", string(cmp.Or(h.BindLinks, h.Links)))
+	links, err := h.listenForLinks()
 	if err != nil {
-		return fmt.Errorf("listen for links: %w", err)
+		return err
 	}
 	grantParams := grant.Defaults()
 	grantParams.RetryRatio, grantParams.RetryExtra, grantParams.RetryWindow = h.RetryRatio, int(float64(h.RetryExtra)*authorityRetryShare), h.RetryWindow
@@ -144,7 +166,7 @@
 	}
 	h.voter = v
 	h.group.Go(func() error { return v.Run(ctx) })
-	if _, err := h.serveWith(ctx, h.Control, h.measuredServer(h.edge.Control(h.Common, v))); err != nil {
+	if err := h.serveControl(ctx, v); err != nil {
 		return err
 	}
 	if h.Directory == "" {
@@ -158,12 +180,44 @@
 	return err
 }
 
+// listenForLinks listens for links from other hosts.
+func (h *host) listenForLinks() (net.Listener, error) {
+	links, err := net.Listen("tcp", string(cmp.Or(h.BindLinks, h.Links)))
+	if err != nil {
+		return nil, fmt.Errorf("listen for links: %w", err)
+	}
+	return links, nil
+}
+
+// serveControl answers the calls of operators and endpoints.
+func (h *host) serveControl(ctx context.Context, c Controller) error {
+	if h.Control == "" {
+		return nil
+	}
+	_, err := h.serveWith(ctx, h.Control, h.measuredServer(h.edge.Control(h.Common, c)))
+	return err
+}
+
 func (h *host) startEntryHost(ctx context.Context) error {
-	f := front.New(h.Common, h.meter, front.Config{
+	c := front.Config{
 		Self: ident.HostID(h.Name), Domain: h.Domain, Seeds: h.Seeds, Address: string(h.Callers), Dialect: h.edge.Dialect,
 		RetryRatio: h.RetryRatio, RetryExtra: int(float64(h.RetryExtra) * serviceRetryShare), RetryWindow: h.RetryWindow,
-	})
+	}
+	servesControl := h.Control != "" && h.voter == nil // else the control host in this process serves it
+	if servesControl {
+		links, err := h.listenForLinks()
+		if err != nil {
+			return err
+		}
+		c.Links, c.LinkAddress = links, ident.HostID(h.Links)
+	}
+	f := front.New(h.Common, h.meter, c)
 	h.front = f
+	if servesControl {
+		if err := h.serveControl(ctx, f); err != nil {
+			return err
+		}
+	}
 	h.group.Go(func() error { return f.Run(ctx) })
 	if h.Ready != "" {
 		if _, err := h.serve(ctx, h.Ready, h.edge.Ready(f.Ready)); err != nil {
--- a/io/voter/leaderless_test.go
+++ b/io/voter/leaderless_test.go
@@ -26,7 +26,8 @@
 		t.Run(name, func(t *testing.T) {
 			v := newVoter(t, t.TempDir())
 			if c.leaderless > 0 {
-				v.leaderlessSince = clock.Boot().Add(-c.leaderless)
+				v.Follow("c2", 0)
+				v.Follow("", clock.Boot().Add(-c.leaderless))
 			}
 			ended := make(chan struct{})
 			go func() {
@@ -48,13 +49,3 @@
 		})
 	}
 }
-
-// The time without a leader must start when the leader is lost, not at the last check.
-func TestTimeWithoutLeader(t *testing.T) {
-	v := newVoter(t, t.TempDir())
-	v.trackLeader(5)
-	v.trackLeader(9)
-	assert.Equal(t, v.leaderlessSince, ident.Time(5))
-	assert.Assert(t, !v.withoutLeader(9))
-	assert.Assert(t, v.withoutLeader(ident.Time(5).Add(leaderlessLimit+1)))
-}
--- a/io/voter/log.go
+++ b/io/voter/log.go
@@ -68,7 +68,7 @@
 	if v.book.Apply(c) {
 		v.publishCommand(c, former, e.Index)
 	}
-	v.calls.committed(e.Index, e.Term)
+	v.leaderCalls.committed(e.Index, e.Term)
 	v.compact()
 }
 
--- a/io/voter/status.go
+++ b/io/voter/status.go
@@ -132,7 +132,7 @@
 	leaderless := false
 	err := v.runInLoop(ctx, func() {
 		f()
-		leaderless = v.withoutLeader(clock.Boot())
+		leaderless = v.WithoutLeader(clock.Boot())
 	})
 	if err == nil && leaderless {
 		return errNoLeader
@@ -140,24 +140,22 @@
 	return err
 }
 
-// withoutLeader reports whether this host has known no leader for longer than leaderlessLimit.
-func (v *Voter) withoutLeader(now ident.Time) bool {
-	return v.leaderlessSince != 0 && now.Sub(v.leaderlessSince) > leaderlessLimit
-}
-
-// leaderlessLimit is twice the longest election timeout, since more than two failed elections in a row are rare.
-const leaderlessLimit = 4 * electionTimeout
-
-var errNoLeader = errors.New("this control host knows no leader")
+// Errors of calls.
+var (
+	errStopping = errors.New("the host is stopping")
+	errNoLeader = errors.New("this control host knows no leader")
+)
 
 // Leave deregisters an endpoint. An error means that the leader may not learn of it, as for Announce.
 func (v *Voter) Leave(ctx context.Context, i ident.Instance) error {
-	return v.confirmWithLeader(ctx, func() {
-		if e, ok := v.census.Leave(i.ID, i.Born, clock.Boot()); ok {
-			v.logEndpoint(e, "left")
-			v.queueChange(e)
-		}
-	})
+	return v.confirmWithLeader(ctx, func() { v.deregister(i) })
+}
+
+func (v *Voter) deregister(i ident.Instance) {
+	if e, ok := v.census.Leave(i.ID, i.Born, clock.Boot()); ok {
+		v.logEndpoint(e, "left")
+		v.queueChange(e)
+	}
 }
 
 // observeEndpoints updates the census with heartbeats. direct is true if the endpoints sent them to this host, which then
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -17,6 +17,7 @@
 	"shallotgap/core/layout"
 	"shallotgap/core/quorum"
 	"shallotgap/core/world"
+	"shallotgap/io/calls"
 	"shallotgap/io/clock"
 	"shallotgap/io/disk"
 	"shallotgap/io/link"
@@ -37,9 +38,10 @@
 	// Self is the host's link address, which is also its ID.
 	Self   ident.HostID
 	Domain ident.DomainID
-	// Seeds are the control hosts to which the host connects first.
+	// Seeds are the hosts to which the host connects first.
 	Seeds []ident.HostID
-	// Bootstrap is true when the deployment starts for the first time; the seeds then form the initial membership.
+	// Bootstrap is true when the deployment starts for the first time; the control hosts among the seeds then form the initial
+	// membership.
 	Bootstrap bool
 	// TargetVoters is the number of voters that the leader maintains.
 	TargetVoters int
@@ -76,6 +78,7 @@
 type Voter struct {
 	logs.Common
 	Config
+	*calls.Forwarder
 	Meter *metric.Meter
 
 	mesh  *link.Mesh
@@ -88,7 +91,7 @@
 	book               *book.Book
 	census             *census.Census
 	entryHosts         map[ident.HostID]entryHost
-	calls              *calls
+	leaderCalls        leaderCalls
 	leadership         *leadership
 	applied            ident.Index
 	startedAt          ident.Time
@@ -129,9 +132,11 @@
 	v := &Voter{
 		Common: common, Config: c, Meter: meter, store: store,
 		inbox: make(chan func(), inboxCapacity), disk: disk.NewQueue[diskJob](), ended: make(chan struct{}),
-		book: state, census: census.New(goneRetention), entryHosts: map[ident.HostID]entryHost{}, calls: newCalls(),
-		applied: stored.Snapshot.Index, startedAt: clock.Boot(),
+		book: state, census: census.New(goneRetention), entryHosts: map[ident.HostID]entryHost{},
+		leaderCalls: leaderCalls{proposed: map[ident.Index][]proposal{}},
+		applied:     stored.Snapshot.Index, startedAt: clock.Boot(),
 	}
+	v.Forwarder = calls.New(calls.Config{Send: v.sendCall})
 	v.census.AwaitServices = true
 	if v.book.Layout != nil {
 		v.setCensusServices()
@@ -214,11 +219,9 @@
 func (v *Voter) tick() {
 	now := clock.Boot()
 	v.node.Tick(now)
-	v.trackLeader(now)
 	v.census.Expire(now)
 	v.flushCensus()
-	v.calls.expire(now)
-	v.forwardCalls()
+	v.followLeader(now)
 	if late := v.disk.OldestAge(now); late > slowDiskLimit && v.node.Role() == quorum.Leader {
 		v.Log.WithField("step", "lead").WithField("write", late.String()).Warn("disk-slow")
 		v.node.StepDown(quorum.ExcludeNone)
@@ -228,17 +231,6 @@
 	}
 }
 
-// trackLeader updates leaderlessSince.
-func (v *Voter) trackLeader(now ident.Time) {
-	leader, _ := v.node.Leader()
-	switch {
-	case leader != "":
-		v.leaderlessSince = 0
-	case v.leaderlessSince == 0:
-		v.leaderlessSince = now
-	}
-}
-
 // processEffects executes the effects of the log and of the grant authority after an event.
 func (v *Voter) processEffects(ctx context.Context) {
 	v.processLog()
@@ -279,8 +271,10 @@
 		v.serveFetch(from.Host, *m.Fetch)
 	case m.Call != nil:
 		v.serveCall(from.Host, *m.Call)
+	case m.EndpointCall != nil:
+		v.serveEndpointCall(from.Host, *m.EndpointCall)
 	case m.Answer != nil:
-		v.calls.answer(*m.Answer)
+		v.Resolve(*m.Answer)
 	default:
 		v.receiveGrantMessage(from, m, now)
 	}
@@ -294,6 +288,8 @@
 			v.mesh.Target(peer.Host)
 			v.addContact(peer.Host)
 			v.hasLegacyPeers = v.hasLegacyPeers || !peer.ShortHeartbeats
+		} else if peer.Address != "" {
+			v.dropContact(peer.Address)
 		}
 		list := v.heardEndpoints()
 		if !peer.Control {
@@ -306,8 +302,9 @@
 	})
 }
 
-// LinkDown removes a disconnected entry host.
+// LinkDown removes a disconnected entry host. Calls that were forwarded to the host are sent again.
 func (v *Voter) LinkDown(peer link.Hello) {
+	v.LinkLost(peer.Host)
 	v.post(func() { delete(v.entryHosts, peer.Host) })
 }
 
@@ -328,5 +325,13 @@
 	v.node.Contacts = append(v.node.Contacts, h)
 }
 
+// dropContact removes an entry host that was given as a seed from the hosts that may become voters.
+func (v *Voter) dropContact(h ident.HostID) {
+	v.node.DropContact(h)
+	if v.Bootstrap && len(v.node.Founders) == 0 {
+		v.Log.WithField("step", "found").WithField("peer", h).Warn("no-founder")
+	}
+}
+
 // Reseed connects to the control hosts of changed settings; it keeps the existing links.
 func (v *Voter) Reseed(seeds []ident.HostID) { v.post(func() { v.addControlHosts(seeds) }) }
