--- a/fakes/main.go
+++ b/fakes/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"shallotgap/fakes/hunts"
 	"shallotgap/fakes/loads"
 	"shallotgap/fakes/probe"
 	"shallotgap/fakes/stand"
@@ -29,6 +30,7 @@
 	Path     loads.Path     `cmd:"" help:"Measure the added time of the path, side by side with direct requests."`
 	Takeover loads.Takeover `cmd:"" help:"Time the gap after a killed owner, until a request is served again."`
 	Rate     loads.Rate     `cmd:"" help:"Stream from an entry host and print what its process relays on how much of a core."`
+	Hunts    hunts.Command  `cmd:"" help:"Check that hunts of the platform's bench are clean."`
 	Replay   replayer       `cmd:"" help:"Replay a trace through the decision core in virtual time and print what it measures."`
 }
 
