Let the command line try several entry hosts

What operators saw: a table edit or a planned stop through an entry host that stands still ended after 15 s with an unknown outcome, although the other hosts would have taken it.

The next one is tried after 2 s without an answer, a lost connection or a 503, each at most three times. With one address nothing changes.

--- a/io/cmds/client.go
+++ b/io/cmds/client.go
@@ -13,14 +13,22 @@
 	"time"
 )
 
-// callTimeout bounds one request of the command line to a host.
-const callTimeout = 15 * time.Second
+// Limits of one request of the command line.
+const (
+	// callTimeout bounds the request over all hosts.
+	callTimeout = 15 * time.Second
+	// hostTimeout is the time without an answer after which the next of several hosts is tried. An election takes less.
+	hostTimeout = 2 * time.Second
+	// hostRounds is how often each of several hosts is tried; roundPause is the pause before a further round.
+	hostRounds = 3
+	roundPause = 200 * time.Millisecond
+)
 
 // Remote holds the flags of commands that send requests to a running system.
 type Remote struct {
-	Entry     string `help:"Address of any entry host." default:"http://127.0.0.1:7100" env:"SHALLOTGAP_ENTRY"`
-	TokenFile string `help:"File with the operator's token; needed where the settings ask for one." env:"SHALLOTGAP_TOKEN_FILE"`
-	JSON      bool   `help:"Print JSON with kebab-case names." name:"json"`
+	Entry     []string `help:"Address of any entry host, or several with commas between: the next one is tried when one does not answer." default:"http://127.0.0.1:7100" env:"SHALLOTGAP_ENTRY" sep:","`
+	TokenFile string   `help:"File with the operator's token; needed where the settings ask for one." env:"SHALLOTGAP_TOKEN_FILE"`
+	JSON      bool     `help:"Print JSON with kebab-case names." name:"json"`
 }
 
 func (r Remote) get(ctx context.Context, path string, out any) error {
@@ -31,10 +39,41 @@
 	return r.call(ctx, http.MethodPost, path, in, out)
 }
 
+// call sends a request to the hosts of r.Entry in turn until one gives a clear answer. Requests must have no further effect when
+// they are sent again: reads, and changes with an id.
 func (r Remote) call(ctx context.Context, method, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	req, err := r.request(ctx, method, path, in)
+	if len(r.Entry) == 1 {
+		return r.callHost(ctx, r.Entry[0], method, path, in, out)
+	}
+	var err error
+	for round := range hostRounds {
+		if round > 0 {
+			pause(ctx, roundPause)
+		}
+		for _, entry := range r.Entry {
+			hostCtx, cancel := context.WithTimeout(ctx, hostTimeout)
+			err = r.callHost(hostCtx, entry, method, path, in, out)
+			cancel()
+			if !outcomeUnknown(err) || ctx.Err() != nil {
+				return err
+			}
+		}
+	}
+	return err
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// callHost sends a request to one host.
+func (r Remote) callHost(ctx context.Context, entry, method, path string, in, out any) error {
+	req, err := r.request(ctx, entry, method, path, in)
 	if err != nil {
 		return err
 	}
@@ -53,7 +92,7 @@
 	return json.Unmarshal(data, out)
 }
 
-func (r Remote) request(ctx context.Context, method, path string, in any) (*http.Request, error) {
+func (r Remote) request(ctx context.Context, entry, method, path string, in any) (*http.Request, error) {
 	var body io.Reader
 	if in != nil {
 		data, err := json.Marshal(in)
@@ -62,7 +101,7 @@
 		}
 		body = bytes.NewReader(data)
 	}
-	req, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(r.Entry, "/")+path, body)
+	req, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(entry, "/")+path, body)
 	if err != nil {
 		return nil, err
 	}
--- a/io/cmds/hosts.go
+++ b/io/cmds/hosts.go
@@ -18,7 +18,7 @@
 	Err    string `json:"error,omitempty"`
 }
 
-// hosts returns the entry hosts in the settings of the host at r.Entry.
+// hosts returns the entry hosts in the settings of a host of r.Entry.
 func (r Remote) hosts(ctx context.Context) ([]admin.Host, error) {
 	var list []admin.Host
 	err := r.get(ctx, "/admin/hosts", &list)
@@ -27,7 +27,7 @@
 
 // withEntry returns r with h as the host that requests are sent to.
 func (r Remote) withEntry(h admin.Host) Remote {
-	r.Entry = h.URL
+	r.Entry = []string{h.URL}
 	return r
 }
 
