Pass heartbeats to a control host while no leader is known

Cause: an entry host held a heartbeat back until it knew a leader, or refused it. A control host shares it at once with the others, so that the one that is elected knows the endpoint.

Change: while no leader is known, heartbeats and deregistrations go to a linked control host, also when that link comes up after the call. Orders and reads wait for a leader as before.

TestHeartbeatsWithoutLeader is new with the code.

--- a/io/calls/calls.go
+++ b/io/calls/calls.go
@@ -41,7 +41,8 @@
 }
 
 // Forwarder sends calls to the leader and waits for the answers. It sends a call again when the leader changes and when the link
-// to the leader was lost.
+// to the leader was lost. While no leader is known, heartbeats and deregistrations go to another control host, since control
+// hosts share them and a new leader needs them at once.
 type Forwarder struct {
 	Config
 
@@ -49,6 +50,7 @@
 	lastID  uint64
 	pending map[uint64]*pendingCall
 	leader  ident.HostID // empty while no leader is known
+	standIn ident.HostID // the control host that receives the calls of endpoints while no leader is known; empty for none
 	// leaderlessSince is the time since which no leader is known; 0 while one is known.
 	leaderlessSince ident.Time
 }
@@ -57,7 +59,7 @@
 type pendingCall struct {
 	message link.Message
 	done    chan link.Answer
-	sentTo  ident.HostID // the leader that last received the call; empty if none has
+	sentTo  ident.HostID // the host that last received the call; empty if none has
 }
 
 // New returns a forwarder that knows no leader yet.
@@ -78,15 +80,32 @@
 		f.leaderlessSince = now
 	}
 	f.leader = leader
+	f.sendPending()
+}
+
+// SetStandIn sets the control host that receives the calls of endpoints while no leader is known; empty for none.
+func (f *Forwarder) SetStandIn(h ident.HostID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.standIn = h
+	f.sendPending()
+}
+
+// sendPending sends the calls that their target has not received. The caller must hold f.mu.
+func (f *Forwarder) sendPending() {
 	for _, p := range f.pending {
 		f.send(p)
 	}
 }
 
-// send sends a call to the leader unless the leader has received it. The caller must hold f.mu.
+// send sends a call to its target unless the target has received it. The caller must hold f.mu.
 func (f *Forwarder) send(p *pendingCall) {
-	if f.leader != "" && p.sentTo != f.leader && f.Send(f.leader, p.message) {
-		p.sentTo = f.leader
+	target := f.leader
+	if target == "" && p.message.EndpointCall != nil {
+		target = f.standIn
+	}
+	if target != "" && p.sentTo != target && f.Send(target, p.message) {
+		p.sentTo = target
 	}
 }
 
@@ -122,7 +141,7 @@
 	}
 }
 
-// add registers a call and sends it if a leader is known. The call must be removed at its end.
+// add registers a call and sends it if its target is known. The call must be removed at its end.
 func (f *Forwarder) add(message func(id uint64) link.Message) (uint64, chan link.Answer, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/calls/calls_test.go
+++ b/io/calls/calls_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,6 +85,40 @@
 	}
 }
 
+// While no leader is known, heartbeats go to a control host at once, so that the next leader knows the endpoints. Orders wait.
+func TestHeartbeatsWithoutLeader(t *testing.T) {
+	cases := map[string]struct {
+		do   func(f *Forwarder)
+		want []string
+	}{
+		"no control host linked": {do: func(*Forwarder) {}},
+		"control host linked":    {do: func(f *Forwarder) { f.SetStandIn("c2") }, want: []string{"c2:1"}},
+		"linked again":           {do: func(f *Forwarder) { f.SetStandIn("c2"); f.LinkLost("c2"); f.SetStandIn("c2") }, want: []string{"c2:1", "c2:1"}},
+		"another one linked":     {do: func(f *Forwarder) { f.SetStandIn("c2"); f.LinkLost("c2"); f.SetStandIn("c3") }, want: []string{"c2:1", "c3:1"}},
+		"leader elected":         {do: func(f *Forwarder) { f.SetStandIn("c2"); f.Follow("c1", 2) }, want: []string{"c2:1", "c1:1", "c1:2"}},
+		"stand-in elected":       {do: func(f *Forwarder) { f.SetStandIn("c2"); f.Follow("c2", 2) }, want: []string{"c2:1", "c2:2"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, l := newForwarder()
+				ended := make(chan error, 2)
+				go func() { ended <- f.Announce(t.Context(), census.Entry{}) }()
+				synctest.Wait()
+				go func() { ended <- f.SetNewest(t.Context(), book.Newest{}) }()
+				synctest.Wait()
+				c.do(f)
+				f.Resolve(link.Answer{ID: 1, Done: true})
+				f.Resolve(link.Answer{ID: 2, Done: true})
+				assert.NilError(t, <-ended)
+				assert.NilError(t, <-ended)
+				slices.Sort(l.sent[min(1, len(l.sent)):]) // the order of calls to a new leader is open
+				assert.DeepEqual(t, l.sent, c.want)
+			})
+		})
+	}
+}
+
 // Each kind of call waits for its answer and reports a refusal.
 func TestAnswers(t *testing.T) {
 	kinds := map[string]func(f *Forwarder, ctx context.Context) error{
--- a/io/front/links.go
+++ b/io/front/links.go
@@ -27,6 +27,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.controlStatus, peer.Host)
+	f.chooseStandIn()
 	if f.leader == peer.Host {
 		f.leader = ""
 		f.Follow("", clock.Boot())
@@ -68,6 +69,7 @@
 		f.leader = ""
 	}
 	f.Follow(f.leader, clock.Boot())
+	f.chooseStandIn()
 	f.mu.Unlock()
 	if changed != nil {
 		f.mesh.SendAll(link.Message{Status: &link.Status{Control: changed}}, func(link.Hello) bool { return true })
@@ -79,6 +81,20 @@
 	f.fetchIfBehind(from, s)
 }
 
+// chooseStandIn sets the stand-in for the leader to a linked control host, and keeps it while its link is up. The caller must
+// hold f.mu.
+func (f *Front) chooseStandIn() {
+	if _, linked := f.controlStatus[f.standIn]; linked {
+		return
+	}
+	f.standIn = ""
+	for h := range f.controlStatus {
+		f.standIn = h
+		break
+	}
+	f.SetStandIn(f.standIn)
+}
+
 // updateControlHosts collects the control hosts from their statuses. It returns the list if it has changed, else nil. The caller
 // must hold f.mu.
 func (f *Front) updateControlHosts() []ident.HostID {
