--- a/io/calls/calls.go
+++ b/io/calls/calls.go
@@ -46,11 +46,11 @@
 type Forwarder struct {
 	Config
 
-	mu      sync.Mutex
-	lastID  uint64
-	pending map[uint64]*pendingCall
-	leader  ident.HostID // empty while no leader is known
-	standIn ident.HostID // the control host that receives the calls of endpoints while no leader is known; empty for none
+	mu       sync.Mutex
+	lastID   uint64
+	pending  map[uint64]*pendingCall
+	leader   ident.HostID // empty while no leader is known
+	fallback ident.HostID // the control host that receives the calls of endpoints while no leader is known; empty for none
 	// leaderlessSince is the time since which no leader is known; 0 while one is known.
 	leaderlessSince ident.Time
 }
@@ -83,11 +83,11 @@
 	f.sendPending()
 }
 
-// SetStandIn sets the control host that receives the calls of endpoints while no leader is known; empty for none.
-func (f *Forwarder) SetStandIn(h ident.HostID) {
+// SetFallback sets the control host that receives the calls of endpoints while no leader is known; empty for none.
+func (f *Forwarder) SetFallback(h ident.HostID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.standIn = h
+	f.fallback = h
 	f.sendPending()
 }
 
@@ -102,7 +102,7 @@
 func (f *Forwarder) send(p *pendingCall) {
 	target := f.leader
 	if target == "" && p.message.EndpointCall != nil {
-		target = f.standIn
+		target = f.fallback
 	}
 	if target != "" && p.sentTo != target && f.Send(target, p.message) {
 		p.sentTo = target
--- a/io/calls/calls_test.go
+++ b/io/calls/calls_test.go
@@ -92,11 +92,11 @@
 		want []string
 	}{
 		"no control host linked": {do: func(*Forwarder) {}},
-		"control host linked":    {do: func(f *Forwarder) { f.SetStandIn("c2") }, want: []string{"c2:1"}},
-		"linked again":           {do: func(f *Forwarder) { f.SetStandIn("c2"); f.LinkLost("c2"); f.SetStandIn("c2") }, want: []string{"c2:1", "c2:1"}},
-		"another one linked":     {do: func(f *Forwarder) { f.SetStandIn("c2"); f.LinkLost("c2"); f.SetStandIn("c3") }, want: []string{"c2:1", "c3:1"}},
-		"leader elected":         {do: func(f *Forwarder) { f.SetStandIn("c2"); f.Follow("c1", 2) }, want: []string{"c2:1", "c1:1", "c1:2"}},
-		"stand-in elected":       {do: func(f *Forwarder) { f.SetStandIn("c2"); f.Follow("c2", 2) }, want: []string{"c2:1", "c2:2"}},
+		"control host linked":    {do: func(f *Forwarder) { f.SetFallback("c2") }, want: []string{"c2:1"}},
+		"linked again":           {do: func(f *Forwarder) { f.SetFallback("c2"); f.LinkLost("c2"); f.SetFallback("c2") }, want: []string{"c2:1", "c2:1"}},
+		"another one linked":     {do: func(f *Forwarder) { f.SetFallback("c2"); f.LinkLost("c2"); f.SetFallback("c3") }, want: []string{"c2:1", "c3:1"}},
+		"leader elected":         {do: func(f *Forwarder) { f.SetFallback("c2"); f.Follow("c1", 2) }, want: []string{"c2:1", "c1:1", "c1:2"}},
+		"fallback elected":       {do: func(f *Forwarder) { f.SetFallback("c2"); f.Follow("c2", 2) }, want: []string{"c2:1", "c2:2"}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -149,7 +149,7 @@
 	controlStatus  map[ident.HostID]link.Status
 	controlHosts   []ident.HostID // from controlStatus; never modified in place
 	leader         ident.HostID
-	standIn        ident.HostID // see calls.Forwarder.SetStandIn
+	fallback       ident.HostID // see calls.Forwarder.SetFallback
 	term           ident.Term
 	entryHosts     int // number of ready entry hosts, from the last status
 	grantRequests  map[grant.ID]*grantRequest
--- a/io/front/links.go
+++ b/io/front/links.go
@@ -27,7 +27,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.controlStatus, peer.Host)
-	f.chooseStandIn()
+	f.chooseFallback()
 	if f.leader == peer.Host {
 		f.leader = ""
 		f.Follow("", clock.Boot())
@@ -69,7 +69,7 @@
 		f.leader = ""
 	}
 	f.Follow(f.leader, clock.Boot())
-	f.chooseStandIn()
+	f.chooseFallback()
 	f.mu.Unlock()
 	if changed != nil {
 		f.mesh.SendAll(link.Message{Status: &link.Status{Control: changed}}, func(link.Hello) bool { return true })
@@ -81,18 +81,18 @@
 	f.fetchIfBehind(from, s)
 }
 
-// chooseStandIn sets the stand-in for the leader to a linked control host, and keeps it while its link is up. The caller must
+// chooseFallback sets the fallback for the leader to a linked control host, and keeps it while its link is up. The caller must
 // hold f.mu.
-func (f *Front) chooseStandIn() {
-	if _, linked := f.controlStatus[f.standIn]; linked {
+func (f *Front) chooseFallback() {
+	if _, linked := f.controlStatus[f.fallback]; linked {
 		return
 	}
-	f.standIn = ""
+	f.fallback = ""
 	for h := range f.controlStatus {
-		f.standIn = h
+		f.fallback = h
 		break
 	}
-	f.SetStandIn(f.standIn)
+	f.SetFallback(f.fallback)
 }
 
 // updateControlHosts collects the control hosts from their statuses. It returns the list if it has changed, else nil. The caller
