Log what answers say about the limit of their endpoint

No line told whether an answer named a limit, under which header or in which kind of answer, so the logs could not show what a host knew. Nothing is decided by it yet.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -18,6 +18,7 @@
 	"shallotgap/core/grant"
 	"shallotgap/core/ident"
 	"shallotgap/core/layout"
+	"shallotgap/core/limit"
 	"shallotgap/core/pick"
 	"shallotgap/core/poison"
 	"shallotgap/io/calls"
@@ -69,6 +70,8 @@
 	Authentic bool
 	// Load is the load that the endpoint reported; nil for none.
 	Load *pick.Load
+	// Limit is what the endpoint says about the rate of requests that it takes.
+	Limit limit.Signal
 }
 
 // Dialect decodes and encodes the protocol headers of callers and endpoints.
@@ -147,6 +150,7 @@
 	entryHosts     int             // number of ready entry hosts, from the last status
 	poison         *poison.Table   // the suspected and blocked parts of prompts
 	written        *poison.Written // the parts that engines wrote on lately for this host
+	namedLimits    map[ident.Instance]limit.Signal
 	grantRequests  map[grant.ID]*grantRequest
 	lastServed     map[book.AdapterRef]servedPlace // the last grant of each adapter
 	retryBudgets   map[ident.Service]*grant.Budget // retry budgets of plain services
@@ -159,7 +163,7 @@
 func New(common logs.Common, meter *metric.Meter, c Config) *Front {
 	f := &Front{
 		Common: common, Config: c, Meter: meter, client: dial.New(), layoutLoaded: make(chan struct{}), census: census.NewFollower(), poison: poison.NewTable(), written: poison.NewWritten(), picker: pick.New(c.Domain),
-		newestVersions: map[book.AdapterRef]book.WeightsVersion{}, controlStatus: map[ident.HostID]link.Status{}, grantRequests: map[grant.ID]*grantRequest{},
+		namedLimits: map[ident.Instance]limit.Signal{}, newestVersions: map[book.AdapterRef]book.WeightsVersion{}, controlStatus: map[ident.HostID]link.Status{}, grantRequests: map[grant.ID]*grantRequest{},
 		lastServed: map[book.AdapterRef]servedPlace{}, retryBudgets: map[ident.Service]*grant.Budget{}, sendCounts: map[ident.Service]*grant.Budget{}, startedAt: clock.Boot(), entryHosts: 1,
 	}
 	f.router.Store(layout.NewRouter(nil))
--- a/io/front/plain.go
+++ b/io/front/plain.go
@@ -125,6 +125,7 @@
 	ex.sends++
 	defer resp.Finish()
 	v := ex.Dialect.Verdict(ex.call.ID, resp.StatusCode, resp.Header)
+	ex.noteLimit(e.Instance, v, resp.StatusCode)
 	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBody))
 	tooLong := err == nil && !resp.Complete() && len(body) == maxBufferedBody
 	switch {
