Pace the sends of all hosts to endpoints that name a limit

Cause: what an endpoint says of itself in an answer stayed at the host that got the answer, or was not read at all. The authority counts every send to a limited engine (first sends, retries and resumed streams, orders, reports, probes) and treats the time until the next one as a delay of that option. Plain services need a permit for each send, in the order of priority; without a leader a host uses its share, at its own turn. A higher limit or an end counts only from answers to later requests. Requests whose turn would come too late are rejected at once with the time until it (endpoint-limit). Endpoints with limits are probed, so that the end is noticed. A new authority sends nothing before what the earlier one permitted has left.

--- a/core/book/book.go
+++ b/core/book/book.go
@@ -4,6 +4,7 @@
 import (
 	"shallotgap/core/ident"
 	"shallotgap/core/layout"
+	"shallotgap/core/limit"
 	"shallotgap/core/poison"
 	"shallotgap/core/wire"
 )
@@ -23,6 +24,8 @@
 	Newest *Newest        `json:"newest,omitempty"`
 	// Poison changes the suspected and blocked parts of prompts.
 	Poison *poison.Command `json:"poison,omitempty"`
+	// Limits changes the limits that endpoints ask for.
+	Limits *limit.Command `json:"limits,omitempty"`
 }
 
 // Newest announces a new version of the weights of a base model or an adapter.
@@ -41,10 +44,14 @@
 	Changes uint64
 	// Poison holds the parts of prompts that are suspected to crash engines or are blocked for it.
 	Poison *poison.Table
+	// Limits holds the rates that endpoints ask for.
+	Limits *limit.Table
 }
 
 // New returns the empty state.
-func New() *Book { return &Book{Newest: map[AdapterRef]WeightsVersion{}, Poison: poison.NewTable()} }
+func New() *Book {
+	return &Book{Newest: map[AdapterRef]WeightsVersion{}, Poison: poison.NewTable(), Limits: limit.NewTable()}
+}
 
 // Apply carries out a command and reports whether it changed the state.
 func (b *Book) Apply(c Command) bool {
@@ -64,6 +71,8 @@
 		return true
 	case c.Poison != nil:
 		return b.Poison.Apply(*c.Poison)
+	case c.Limits != nil:
+		return b.Limits.Apply(*c.Limits)
 	}
 	return false
 }
@@ -83,11 +92,12 @@
 	Newest  []Newest        `json:"newest,omitempty"`
 	Changes uint64          `json:"changes,omitempty"`
 	Poison  poison.Snapshot `json:"poison,omitempty"`
+	Limits  limit.Snapshot  `json:"limits,omitempty"`
 }
 
 // Snapshot returns the encoded state.
 func (b *Book) Snapshot() ([]byte, error) {
-	return wire.Marshal(snapshot{Layout: b.Layout, Newest: b.List(), Changes: b.Changes, Poison: b.Poison.Snapshot()})
+	return wire.Marshal(snapshot{Layout: b.Layout, Newest: b.List(), Changes: b.Changes, Poison: b.Poison.Snapshot(), Limits: b.Limits.Snapshot()})
 }
 
 // Restore returns the state that a snapshot was taken from; empty data gives the empty state.
@@ -100,7 +110,7 @@
 	if err := wire.Unmarshal(data, &snap); err != nil {
 		return nil, err
 	}
-	b.Layout, b.Changes, b.Poison = snap.Layout, snap.Changes, poison.Restore(snap.Poison)
+	b.Layout, b.Changes, b.Poison, b.Limits = snap.Layout, snap.Changes, poison.Restore(snap.Poison), limit.Restore(snap.Limits)
 	for _, n := range snap.Newest {
 		b.Newest[n.Of] = n.Version
 	}
--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -18,6 +18,7 @@
 type Authority struct {
 	Params
 	poisonWatch
+	limitWatch
 	startedAt      ident.Time
 	lastStep       ident.Time // time of the latest Step
 	layout         *layout.Layout
@@ -84,17 +85,19 @@
 func (w *waiter) planOn(e *engine, prefill time.Duration) {
 	if w.plannedEngine != nil {
 		w.plannedEngine.plannedPrefill -= w.plannedPrefill
+		w.plannedEngine.plannedRequests[w.ask.Priority]--
 	}
 	if w.plannedEngine = e; e != nil {
 		w.plannedPrefill = prefill
 		e.plannedPrefill += prefill
+		e.plannedRequests[w.ask.Priority]++
 	}
 }
 
 // New returns an authority without engines, layout or waiting requests.
 func New(p Params, now ident.Time) *Authority {
 	return &Authority{
-		Params: p, poisonWatch: newPoisonWatch(), startedAt: now, newestVersions: map[book.AdapterRef]book.WeightsVersion{}, engines: map[ident.EndpointID]*engine{}, residency: newResidencyIndex(),
+		Params: p, poisonWatch: newPoisonWatch(), limitWatch: newLimitWatch(), startedAt: now, newestVersions: map[book.AdapterRef]book.WeightsVersion{}, engines: map[ident.EndpointID]*engine{}, residency: newResidencyIndex(),
 		waiting: map[ID]*waiter{}, waitingByAdapter: map[book.AdapterRef]int{}, copies: map[book.AdapterRef]int{}, placements: map[ID]ident.EndpointID{}, budgets: map[ident.Service]*Budget{}, modelLoads: map[ident.Service][]ident.Time{}, pressures: map[ident.Service]pressure{}, lateShares: map[ident.Service]float64{}, engineSummaries: map[ident.Service]summary{}, storeRank: map[book.AdapterRef]int{},
 	}
 }
@@ -107,6 +110,7 @@
 
 // Observe updates the authority's view of an engine from its membership entry. Entries of plain endpoints are ignored.
 func (t *Authority) Observe(e census.Entry, now ident.Time) {
+	t.limits.Replaced(e.Instance, e.State == census.Gone)
 	if t.layout == nil {
 		return
 	}
@@ -160,6 +164,10 @@
 // Ask adds a request to the queue, or rejects it when it exceeds maxSends or the retry budget. Ask is idempotent: an ask that is
 // already waiting is ignored, and one that was granted gets the same place again.
 func (t *Authority) Ask(a Ask, now ident.Time) {
+	if len(a.Permit) > 0 {
+		t.askPermit(a, now)
+		return
+	}
 	if _, known := t.waiting[a.ID]; known {
 		return
 	}
@@ -241,7 +249,10 @@
 }
 
 // Withdraw removes a waiting request whose caller left.
-func (t *Authority) Withdraw(id ID) { t.removeWaiter(id) }
+func (t *Authority) Withdraw(id ID) {
+	t.removeWaiter(id)
+	t.withdrawPermit(id)
+}
 
 // removeWaiter removes a request from the queue.
 func (t *Authority) removeWaiter(id ID) {
@@ -269,6 +280,7 @@
 // End frees the place of a request that ended and updates the estimates from its outcome.
 func (t *Authority) End(end End, now ident.Time) {
 	t.removeWaiter(end.ID)
+	t.withdrawPermit(end.ID)
 	e := t.engines[t.placements[end.ID]]
 	delete(t.placements, end.ID)
 	if e == nil {
@@ -385,6 +397,7 @@
 		t.lastExpiry = now
 		t.expire(now)
 		t.stepRecords(now)
+		t.expirePermits(now)
 		t.countCopies()
 		if t.layout != nil {
 			t.measurePressure(now)
@@ -404,95 +417,9 @@
 	for _, w := range t.queue(now) {
 		t.decide(w, now)
 	}
+	t.stepPermits(now)
+	t.stepLimits(now)
 	effects := t.effects
 	t.effects = Effects{}
 	return effects
 }
-
-// expire ends requests whose end was never reported, removes engines without a heartbeat for forgetAfter, and trims the
-// estimated prompt caches.
-func (t *Authority) expire(now ident.Time) {
-	for id, e := range t.engines {
-		for rid, r := range e.running {
-			if now > r.endBy.Add(endGracePeriod) {
-				e.endRun(rid)
-				delete(t.placements, rid)
-			}
-		}
-		if now.Sub(e.entry.LastHeartbeat) > forgetAfter {
-			e.removeFromIndex()
-			delete(t.engines, id)
-			t.sortedByID = nil
-		}
-		if service, ok := t.layout.Service(e.entry.Service); ok && service.Engine != nil {
-			e.promptCache.trim(service.Engine.Memory * 7 / 10) // running requests need the remaining 30%
-		}
-	}
-}
-
-// Intervals and limits of housekeeping.
-const (
-	endGracePeriod    = 2 * time.Second  // an entry host reports the end of a request within a second after its deadline
-	forgetAfter       = 30 * time.Second // time without a heartbeat after which an engine is removed
-	expireEvery       = 100 * time.Millisecond
-	storeRankingEvery = 20 * time.Millisecond // short compared to the duration of a load
-	scanEvery         = 5 * time.Millisecond  // interval of scans over all engines; steps are far more frequent
-	// scanPerEngine is added per engine, so that scans use a few hundredths of a CPU at any number of engines.
-	scanPerEngine = 10 * time.Microsecond
-)
-
-// askReports requests reports from engines whose state is unknown.
-func (t *Authority) askReports(now ident.Time) {
-	for _, e := range t.enginesByID() {
-		if t.pendingReports >= maxPendingReports {
-			return
-		}
-		if e.reportPending || e.stateKnown || e.orderPending || !e.usable(now, t.Params) || now < e.reportNotBefore || now.Sub(e.reportRequestedAt) < reportEvery {
-			continue
-		}
-		e.reportRequestedAt, e.reportPending = now, true
-		t.pendingReports++
-		t.effects.Reports = append(t.effects.Reports, Target{Instance: e.entry.Instance, Address: e.entry.Address})
-	}
-}
-
-// ReportFailed records that a requested report did not arrive.
-func (t *Authority) ReportFailed(i ident.Instance, now ident.Time) {
-	if e := t.finishReportRequest(i); e != nil {
-		e.failures.record(true, now)
-	}
-}
-
-// finishReportRequest ends a report request and returns the engine, or nil when the engine was removed or restarted since.
-func (t *Authority) finishReportRequest(i ident.Instance) *engine {
-	t.pendingReports = max(0, t.pendingReports-1)
-	e := t.engines[i.ID]
-	if e == nil || e.entry.Instance != i {
-		return nil
-	}
-	e.reportPending = false
-	return e
-}
-
-// maxPendingReports limits concurrent report requests: after an election every engine needs one, and each report must arrive
-// within the request's timeout.
-const maxPendingReports = 48
-
-// reportEvery is the shortest interval between report requests to one engine; a report is some hundred ms old when it arrives.
-const reportEvery = 400 * time.Millisecond
-
-// ApplyReport applies an engine's report. The report is ignored when an order to the engine is pending or was answered after the
-// report was requested.
-func (t *Authority) ApplyReport(i ident.Instance, r Report, now ident.Time) {
-	e := t.finishReportRequest(i)
-	if e == nil || e.orderPending || e.lastOrderAt > e.reportRequestedAt {
-		return
-	}
-	e.applyReport(r, now, t.Params)
-	for _, h := range r.Held {
-		if s := e.slots[h.Ref]; h.Loading && s.readyAt > now {
-			// An earlier authority ordered the load. The report does not say whether the load comes from the store; assume so.
-			t.trackStoreLoad(s, now.Add(t.AdapterLoadTime))
-		}
-	}
-}
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -34,6 +34,8 @@
 	prefillUntil ident.Time
 	// plannedPrefill is the total prefill time of the requests that wait for this engine.
 	plannedPrefill time.Duration
+	// plannedRequests counts the requests that wait for this engine, by priority.
+	plannedRequests map[int]int
 	// recentPrefill is the decayed time spent on prefill, as of recentPrefillAt.
 	recentPrefill   time.Duration
 	recentPrefillAt ident.Time
@@ -81,7 +83,7 @@
 }
 
 func newEngine(e census.Entry, index *residencyIndex, remembered int) *engine {
-	n := &engine{entry: e, residency: index, slots: map[book.AdapterRef]*slot{}, recentlyUnloaded: newRecentAdapters(remembered), promptCache: newPromptCache(), running: map[ID]*run{}}
+	n := &engine{entry: e, residency: index, slots: map[book.AdapterRef]*slot{}, recentlyUnloaded: newRecentAdapters(remembered), promptCache: newPromptCache(), running: map[ID]*run{}, plannedRequests: map[int]int{}}
 	for _, h := range e.Held {
 		// The list of the heartbeat is enough to grant requests; orders need the engine's report.
 		s := &slot{version: book.WeightsVersion(h.Version), usedAt: e.LastHeartbeat, readyAt: e.LastHeartbeat, accepted: true, confirmed: true}
--- a/core/grant/grant.go
+++ b/core/grant/grant.go
@@ -10,6 +10,7 @@
 
 	"shallotgap/core/book"
 	"shallotgap/core/ident"
+	"shallotgap/core/limit"
 	"shallotgap/core/poison"
 )
 
@@ -48,6 +49,9 @@
 	Sends int `json:"sends,omitempty"`
 	// Avoid lists endpoints at which the request failed.
 	Avoid []ident.EndpointID `json:"avoid,omitempty"`
+	// Permit lists endpoints of a plain service with limits, one of which may be sent the request; empty for a request for a model.
+	// The request waits for at most Left.
+	Permit []ident.Instance `json:"permit,omitempty"`
 }
 
 // Place is the engine that a request was granted.
@@ -73,6 +77,7 @@
 	NoService   Cause = "unknown-service" // the layout has no such service
 	Poison      Cause = "poison"          // a part of the prompt crashes engines and is blocked
 	Suspected   Cause = "suspected"       // an engine crashed with the request, which may be why
+	Limited     Cause = "endpoint-limit"  // the endpoints take no more requests a second
 )
 
 // Reply answers an ask with a place or a rejection.
@@ -159,6 +164,8 @@
 	Orders uint64 // number of orders accepted by the engine
 	Held   []HeldAdapter
 	Models []string
+	// Limit is what the answer says about the engine's limit.
+	Limit limit.Signal
 }
 
 // HeldAdapter is an adapter that an engine holds or is loading.
@@ -177,6 +184,9 @@
 	Probes  []Target
 	// Poison lists changes to the replicated table of suspected and blocked parts.
 	Poison []poison.Command
+	// Limits lists changes to the replicated table of limits, Sends the sends to endpoints with limits that were decided on.
+	Limits []limit.Command
+	Sends  []LimitedSend
 	Notes  []Note
 }
 
--- a/core/grant/models.go
+++ b/core/grant/models.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		e.modelLoadUntil = now.Add(m.LoadTime * modelLoadTimeoutFactor)
-		t.sendOrder(e, Order{Load: true, Ref: book.AdapterRef{Model: m.Name}, Cause: "engine without a model"})
+		t.sendOrder(e, Order{Load: true, Ref: book.AdapterRef{Model: m.Name}, Cause: "engine without a model"}, now)
 	}
 }
 
@@ -119,7 +119,7 @@
 
 // mayOrder reports whether an order may be sent to an engine now.
 func (t *Authority) mayOrder(e *engine, now ident.Time) bool {
-	return e.stateKnown && !e.orderPending && !t.superseded && e.usable(now, t.Params)
+	return e.stateKnown && !e.orderPending && !t.superseded && e.usable(now, t.Params) && t.mayCall(e, now)
 }
 
 // mostRequestedModel returns the model with the most requests per engine that holds it, among those that fit into memory.
--- a/core/grant/orders.go
+++ b/core/grant/orders.go
@@ -12,7 +12,7 @@
 func (t *Authority) orderLoad(o option, w *waiter, now ident.Time) {
 	w.orderedOn = o.engine.entry.Instance.ID
 	if o.evict.Adapter != "" {
-		t.sendOrder(o.engine, Order{Ref: o.evict, Cause: "room for " + string(w.ask.Ref.Adapter)})
+		t.sendOrder(o.engine, Order{Ref: o.evict, Cause: "room for " + string(w.ask.Ref.Adapter)}, now)
 		return
 	}
 	v := t.newestVersions[w.ask.Ref]
@@ -25,11 +25,12 @@
 		t.trackStoreLoad(s, s.readyAt)
 	}
 	o.engine.hold(w.ask.Ref, s)
-	t.sendOrder(o.engine, Order{Load: true, Ref: w.ask.Ref, Version: v, Cause: "request " + w.ask.Request})
+	t.sendOrder(o.engine, Order{Load: true, Ref: w.ask.Ref, Version: v, Cause: "request " + w.ask.Request}, now)
 }
 
 // sendOrder sends an order with the engine's expected order count and marks it as pending.
-func (t *Authority) sendOrder(e *engine, o Order) {
+func (t *Authority) sendOrder(e *engine, o Order, now ident.Time) {
+	t.takeSend(e.entry.Instance, OrderSend, now)
 	o.Instance, o.Address, o.Expect = e.entry.Instance, e.entry.Address, e.acceptedOrders
 	e.orderPending = true
 	if s := e.slots[o.Ref]; s != nil && !o.Load {
@@ -54,6 +55,7 @@
 		// All copies of the order have the same expected count: the engine carries out the first to arrive and rejects the rest.
 		e.resends++
 		e.unansweredAt = now
+		t.takeSend(o.Instance, OrderSend, now)
 		t.effects.Orders = append(t.effects.Orders, o)
 		return
 	}
@@ -126,7 +128,7 @@
 			s.version, s.readyAt, s.loadTime, s.fromStore, s.loadStartedAt, s.rejections = v, now.Add(t.AdapterLoadTime), t.AdapterLoadTime, true, now, 0
 			s.accepted, s.confirmed, s.probeID = false, false, ""
 			t.trackStoreLoad(s, s.readyAt)
-			t.sendOrder(e, Order{Load: true, Ref: ref, Version: v, Cause: "newer version"})
+			t.sendOrder(e, Order{Load: true, Ref: ref, Version: v, Cause: "newer version"}, now)
 		}
 	}
 }
--- a/core/grant/poison.go
+++ b/core/grant/poison.go
@@ -1,7 +1,6 @@
 package grant
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -172,8 +171,7 @@
 
 // stepInquiries sends probes and judges the engines that crashed.
 func (t *Authority) stepInquiries(now ident.Time) {
-	byID := func(a, b ident.Instance) int { return cmp.Compare(a.ID, b.ID) }
-	for _, i := range slices.SortedFunc(maps.Keys(t.inquiries), byID) {
+	for _, i := range slices.SortedFunc(maps.Keys(t.inquiries), ident.Instance.Compare) {
 		q, e := t.inquiries[i], t.engines[i.ID]
 		switch {
 		case now.Sub(q.since) > inquiryTime:
@@ -186,6 +184,7 @@
 		case !q.crashed && !q.probing && now >= q.nextProbe:
 			q.probing = true
 			q.probes++
+			t.takeSend(i, ProbeSend, now)
 			t.effects.Probes = append(t.effects.Probes, Target{Instance: i, Address: e.entry.Address})
 		}
 	}
--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -29,6 +29,9 @@
 	load      bool
 	evict     book.AdapterRef
 	fromStore bool
+	// limited is true for an engine with a limit, queueDelay the time in which it serves requests that are at least as urgent first.
+	limited    bool
+	queueDelay time.Duration
 }
 
 // decide grants a waiting request the engine with the lowest cost, orders a load for it, leaves it in the queue or rejects it.
@@ -56,9 +59,9 @@
 	switch {
 	case !found:
 		t.waitForEngine(w, now)
-	case best.startDelay+best.prefill > remaining:
+	case best.startDelay+best.queueDelay+best.prefill > remaining:
 		w.lastOption = best.logText()
-		t.rejectWaiter(w, TooLate, best.startDelay)
+		t.rejectWaiter(w, best.lateCause(), best.startDelay+best.queueDelay)
 	case best.orderDelay > 0:
 		// The request stays in the authority's queue, where any engine can still be chosen, and is not bound to a busy engine yet.
 		w.nextReview = now.Add(min(max(best.orderDelay/reviewDelayDivisor, reviewInterval), maxReviewInterval))
@@ -77,14 +80,23 @@
 // MaxWaitShare of the caller's event timeout.
 func (t *Authority) waitOrReject(w *waiter, best option, now ident.Time) {
 	w.lastOption = ""
-	if now.Sub(w.since)+best.startDelay > time.Duration(t.MaxWaitShare*float64(w.eventTimeout)) {
+	delay := best.startDelay + best.queueDelay
+	if now.Sub(w.since)+delay > time.Duration(t.MaxWaitShare*float64(w.eventTimeout)) {
 		w.lastOption = best.logText()
-		t.rejectWaiter(w, TooLate, best.startDelay)
+		t.rejectWaiter(w, best.lateCause(), delay)
 		return
 	}
 	w.planOn(best.engine, best.prefill)
 }
 
+// lateCause returns the cause for rejecting a request for which its best option comes too late.
+func (o option) lateCause() Cause {
+	if o.limited {
+		return Limited
+	}
+	return TooLate
+}
+
 // reviewInterval is the shortest time between two searches for an engine for one waiting request: a fraction of the shortest load.
 const reviewInterval = 6 * time.Millisecond
 
@@ -135,6 +147,7 @@
 	a := w.ask
 	a.Left = w.deadline.Sub(now)
 	p := t.newPlace(o.engine, a)
+	t.takeSend(p.Instance, sendKind(a), now)
 	o.engine.startRun(a, now, o.uncachedTokens, o.prefill)
 	t.removeWaiter(a.ID)
 	t.placements[a.ID] = o.engine.entry.Instance.ID
@@ -150,6 +163,13 @@
 	t.addNote("grant", a, p.Instance.ID, "granted", fmt.Sprintf("waited=%dms cost=%dms running=%d tokens=%d version=%d adapter=%s", now.Sub(w.since).Milliseconds(), o.cost.Milliseconds(), len(o.engine.running), o.engine.reservedTokens, p.Version, a.Ref.Adapter))
 }
 
+func sendKind(a Ask) SendKind {
+	if a.Sends > 0 {
+		return RetrySend
+	}
+	return FirstSend
+}
+
 // bestOption returns the option with the lowest cost.
 func (t *Authority) bestOption(w *waiter, engine *layout.Engine, now ident.Time) (option, bool) {
 	var best option
@@ -163,6 +183,9 @@
 			continue
 		}
 		o, ok := t.option(e, w, engine, storeBusy, now)
+		if ok {
+			o = t.addLimitDelay(o, w, now)
+		}
 		if ok && (!found || o.cost < best.cost) {
 			best, found = o, true
 		}
@@ -219,12 +242,17 @@
 func (o option) addWaitCost(w *waiter, now ident.Time) option {
 	o.firstEvent += o.startDelay
 	o.cost += o.firstEvent
-	if w.ask.Target > 0 && now.Sub(w.since)+o.firstEvent+firstOverhead > w.ask.Target {
+	if !w.meetsTarget(o, now) {
 		o.cost += lateCost
 	}
 	return o
 }
 
+// meetsTarget reports whether the first event of an option is expected within the target of the request, if that has one.
+func (w *waiter) meetsTarget(o option, now ident.Time) bool {
+	return w.ask.Target <= 0 || now.Sub(w.since)+o.firstEvent+firstOverhead <= w.ask.Target
+}
+
 // Costs of an option, in time.
 const (
 	lateCost    = 500 * time.Millisecond // a late answer is worth three tenths of one on time; half of a target may be spent waiting
--- a/core/grant/sim_test.go
+++ b/core/grant/sim_test.go
@@ -49,6 +49,8 @@
 	reportLag time.Duration
 	// storeLoadLimit is the number of concurrent loads from the store above which each load takes longer; 0 for no limit.
 	storeLoadLimit int
+	// onEffects sees the effects of each step; nil for none.
+	onEffects func(grant.Effects)
 	// loseOrders is the share of orders that get no answer and are carried out seconds later.
 	loseOrders float64
 }
@@ -176,6 +178,9 @@
 }
 
 func (s *sim) applyEffects(e grant.Effects) {
+	if s.onEffects != nil {
+		s.onEffects(e)
+	}
 	s.notes = append(s.notes, e.Notes...)
 	for _, r := range e.Replies {
 		s.handleReply(r.Reply)
--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -2,6 +2,7 @@
 package ident
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"time"
@@ -122,3 +123,8 @@
 	ID   EndpointID  `json:"id"`
 	Born Incarnation `json:"born,omitempty"`
 }
+
+// Compare orders instances by id, then by birth.
+func (i Instance) Compare(other Instance) int {
+	return cmp.Or(cmp.Compare(i.ID, other.ID), cmp.Compare(i.Born, other.Born))
+}
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -80,6 +80,11 @@
 	return best, !math.IsInf(lowest, 1)
 }
 
+// Better reports whether an endpoint has a lower cost than another one.
+func (p *Picker) Better(e, other census.Entry, now ident.Time) bool {
+	return p.cost(e, now) < p.cost(other, now)
+}
+
 // unreachableCost is the additional cost of an endpoint that was unreachable within unreachableFor.
 const unreachableCost = 1000
 
--- a/io/front/census.go
+++ b/io/front/census.go
@@ -27,7 +27,8 @@
 	f.mu.Lock()
 	needed := f.leader == leader && f.census.NeedsList(d, f.isPlain, clock.Boot())
 	known := len(f.census.List())
-	fetch := link.Fetch{Layout: f.layoutVersion(), Changes: f.versionChanges, Poison: f.poison.Changes, Endpoints: true}
+	fetch := f.fetchNewer(f.layoutVersion())
+	fetch.Endpoints = true
 	f.mu.Unlock()
 	if !needed {
 		return
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -150,7 +150,8 @@
 	entryHosts     int             // number of ready entry hosts, from the last status
 	poison         *poison.Table   // the suspected and blocked parts of prompts
 	written        *poison.Written // the parts that engines wrote on lately for this host
-	namedLimits    map[ident.Instance]limit.Signal
+	limits         *hostLimits
+	permitTimes    map[ident.Service]permitTimes
 	grantRequests  map[grant.ID]*grantRequest
 	lastServed     map[book.AdapterRef]servedPlace // the last grant of each adapter
 	retryBudgets   map[ident.Service]*grant.Budget // retry budgets of plain services
@@ -163,7 +164,7 @@
 func New(common logs.Common, meter *metric.Meter, c Config) *Front {
 	f := &Front{
 		Common: common, Config: c, Meter: meter, client: dial.New(), layoutLoaded: make(chan struct{}), census: census.NewFollower(), poison: poison.NewTable(), written: poison.NewWritten(), picker: pick.New(c.Domain),
-		namedLimits: map[ident.Instance]limit.Signal{}, newestVersions: map[book.AdapterRef]book.WeightsVersion{}, controlStatus: map[ident.HostID]link.Status{}, grantRequests: map[grant.ID]*grantRequest{},
+		limits: newHostLimits(), permitTimes: map[ident.Service]permitTimes{}, newestVersions: map[book.AdapterRef]book.WeightsVersion{}, controlStatus: map[ident.HostID]link.Status{}, grantRequests: map[grant.ID]*grantRequest{},
 		lastServed: map[book.AdapterRef]servedPlace{}, retryBudgets: map[ident.Service]*grant.Budget{}, sendCounts: map[ident.Service]*grant.Budget{}, startedAt: clock.Boot(), entryHosts: 1,
 	}
 	f.router.Store(layout.NewRouter(nil))
@@ -204,6 +205,7 @@
 	f.census.Expire(now)
 	f.picker.Forget(now.Add(-pickerRetention))
 	f.expireLastServed(now)
+	f.limits.forget(now)
 	opened, reused := f.client.Counts()
 	f.Meter.Gauge("shallotgap_connections_opened", opened)
 	f.Meter.Gauge("shallotgap_connections_reused", reused)
@@ -227,23 +229,28 @@
 // sendPresence announces this host to all linked control hosts.
 func (f *Front) sendPresence() { f.mesh.SendAll(f.presence(), func(link.Hello) bool { return true }) }
 
-// fetchIfBehind requests the layout, adapter versions and blocked parts from a control host that has newer ones than this host.
+// fetchIfBehind requests the layout, adapter versions, blocked parts and limits from a control host that has newer ones than this host.
 func (f *Front) fetchIfBehind(from ident.HostID, s link.Status) {
 	current := f.layoutVersion()
 	now := clock.Boot()
 	f.mu.Lock()
-	behind := s.Layout > current || s.Changes > f.versionChanges || s.Poison > f.poison.Changes
+	behind := s.Layout > current || s.Changes > f.versionChanges || s.Poison > f.poison.Changes || s.Limits > f.limits.table.Changes
 	recent := now.Sub(f.fetchedAt) < fetchRetryInterval && f.fetchedAt != 0
 	if behind && !recent {
 		f.fetchedAt = now
 	}
-	fetch := link.Fetch{Layout: current, Changes: f.versionChanges, Poison: f.poison.Changes}
+	fetch := f.fetchNewer(current)
 	f.mu.Unlock()
 	if behind && !recent {
 		f.mesh.Send(from, link.Message{Fetch: &fetch})
 	}
 }
 
+// fetchNewer returns the request for what is newer than a version of the layout and this host's other state. f.mu must be held.
+func (f *Front) fetchNewer(current layout.Version) link.Fetch {
+	return link.Fetch{Layout: current, Changes: f.versionChanges, Poison: f.poison.Changes, Limits: f.limits.table.Changes}
+}
+
 // layoutVersion returns the version of the current layout, or 0 before the first one.
 func (f *Front) layoutVersion() layout.Version {
 	if l := f.router.Load().Layout; l != nil {
@@ -264,7 +271,8 @@
 	next, ok := c.Apply(current)
 	if !ok {
 		f.Log.WithField("step", "layout").WithField("peer", from).WithField("from", c.From).WithField("to", c.To).Warn("change-of-another-version")
-		f.mesh.Send(from, link.Message{Fetch: &link.Fetch{Changes: f.versionChanges, Poison: f.poison.Changes}})
+		fetch := f.fetchNewer(0)
+		f.mesh.Send(from, link.Message{Fetch: &fetch})
 		return
 	}
 	if current == nil {
--- a/io/front/grants.go
+++ b/io/front/grants.go
@@ -127,7 +127,9 @@
 	a.ID = grant.ID(string(f.Self) + "/" + strconv.FormatInt(int64(f.startedAt), 36) + "/" + strconv.FormatUint(f.grantSeq, 36))
 	req := &grantRequest{msg: a, openedAt: clock.Boot(), reply: make(chan grant.Reply, 1)}
 	f.grantRequests[a.ID] = req
-	f.countSend(a)
+	if len(a.Permit) == 0 {
+		f.countSend(a)
+	}
 	f.mu.Unlock()
 	f.sendGrantRequest(req)
 	return req
@@ -172,7 +174,11 @@
 			return
 		}
 		req.place = r.Place
-		f.lastServed[req.msg.Ref] = servedPlace{place: *r.Place, servedAt: clock.Boot()}
+		if len(req.msg.Permit) > 0 {
+			delete(f.grantRequests, r.ID)
+		} else {
+			f.lastServed[req.msg.Ref] = servedPlace{place: *r.Place, servedAt: clock.Boot()}
+		}
 	}
 	f.mu.Unlock()
 	switch {
@@ -218,6 +224,7 @@
 		active.LastServed = append(active.LastServed, grant.Residency{Ref: ref, Instance: s.place.Instance})
 	}
 	active.Written = f.written.Latest(reportedWritten, clock.Boot())
+	active.Limits = f.limits.known(clock.Boot())
 	f.mu.Unlock()
 	f.mesh.Send(to, link.Message{Live: &active})
 	for _, req := range waiting {
@@ -247,6 +254,9 @@
 	if _, suspected := f.stateOf(req.msg.Parts); suspected != "" {
 		return grant.Reply{}, false // only the authority keeps suspects apart
 	}
+	if wait := f.limits.takeShare(p.Instance, f.entryHosts, clock.Boot()); wait > 0 {
+		return grant.Reply{}, false
+	}
 	p.Version = max(p.Version, f.newestVersions[req.msg.Ref])
 	req.place = &p
 	return grant.Reply{ID: req.msg.ID, Place: &p}, true
--- a/io/front/links.go
+++ b/io/front/links.go
@@ -54,6 +54,8 @@
 		f.handleNewestVersions(*m.Newest)
 	case m.Poison != nil:
 		f.handlePoison(from.Host, *m.Poison)
+	case m.Limits != nil:
+		f.handleLimits(from.Host, *m.Limits)
 	case m.Reply != nil:
 		f.handleGrantReply(from.Host, *m.Reply)
 	}
@@ -69,6 +71,7 @@
 	newLeader := s.Leads && s.Term >= f.term && (f.leader != from || f.term != s.Term)
 	if newLeader {
 		f.leader, f.term = from, s.Term
+		f.limits.endShares()
 	} else if f.leader == from && !s.Leads {
 		f.leader = ""
 	}
--- /dev/null
+++ b/io/front/permit.go
@@ -0,0 +1,157 @@
+package front
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"shallotgap/core/census"
+	"shallotgap/core/grant"
+	"shallotgap/core/ident"
+	"shallotgap/io/clock"
+)
+
+// Times of permits, which a send to an endpoint of a plain service with a limit needs.
+const (
+	// permitTimeout is how long a reply of the authority may take beyond the time for which the request may wait there.
+	permitTimeout = 150 * time.Millisecond
+	// permitWaitDivisor is the part of its remaining time that a request may wait for a permit.
+	permitWaitDivisor = 2
+	// permitProbe is the time after which a permit is asked for although an endpoint without a limit is better. A limited endpoint
+	// that gets nothing is lost capacity, and does not tell when its limit has ended.
+	permitProbe = time.Second
+)
+
+// permitTimes are the times of a service's permits on this host.
+type permitTimes struct {
+	askedAt ident.Time
+	// noneUntil is the time before which the authority gives no permit, as its latest rejection said.
+	noneUntil ident.Time
+}
+
+// choice is the result of choosing an endpoint of a plain service.
+type choice struct {
+	endpoint census.Entry
+	found    bool
+	// cause and retryAfter tell why no endpoint may be sent the request, if limits are the reason.
+	cause      grant.Cause
+	retryAfter time.Duration
+}
+
+// choose picks an endpoint of the service that is not in avoid, and counts a request as running there until endSend is called. An
+// endpoint with a limit is chosen with a permit only. The request waits for one if there is no other endpoint.
+func (ex *exchange) choose(ctx context.Context, avoid []ident.EndpointID) choice {
+	now := clock.Boot()
+	ex.mu.Lock()
+	list := ex.census.ByService(ex.service.Name)
+	var free, limited []census.Entry
+	for _, e := range list {
+		if _, ok := ex.limits.of(e.Instance, now); ok {
+			limited = append(limited, e)
+		} else {
+			free = append(free, e)
+		}
+	}
+	bestFree, hasFree := ex.picker.Choose(free, avoid, now)
+	bestLimited, hasLimited := ex.picker.Choose(limited, avoid, now)
+	ask := hasLimited
+	if hasFree && hasLimited {
+		times := ex.permitTimes[ex.service.Name]
+		better := ex.picker.Better(bestLimited, bestFree, now)
+		ask = now >= times.noneUntil && (better || now.Sub(times.askedAt) >= permitProbe)
+	}
+	if hasFree && !ask {
+		ex.picker.Begin(bestFree, now)
+	}
+	ex.mu.Unlock()
+	switch {
+	case !hasFree && !hasLimited:
+		ex.logDecision("choose", "", "none", "known="+strconv.Itoa(len(list))+" avoided="+strconv.Itoa(len(avoid)))
+		return choice{}
+	case !ask:
+		return choice{endpoint: bestFree, found: true}
+	}
+	c := ex.choosePermitted(ctx, limited, avoid, !hasFree)
+	if c.found || !hasFree {
+		return c
+	}
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	ex.picker.Begin(bestFree, clock.Boot())
+	return choice{endpoint: bestFree, found: true}
+}
+
+// choosePermitted picks one of the endpoints with limits by a permit of the authority or, without a leader, by this host's share.
+func (ex *exchange) choosePermitted(ctx context.Context, limited []census.Entry, avoid []ident.EndpointID, wait bool) choice {
+	a := grant.Ask{Request: ex.call.ID, Service: ex.service.Name, Priority: ex.route.Priority, Sends: ex.sends, Avoid: avoid}
+	for _, e := range limited {
+		if e.State == census.Ready {
+			a.Permit = append(a.Permit, e.Instance)
+		}
+	}
+	if wait {
+		a.Left = max(0, ex.timeLeft()/permitWaitDivisor)
+	}
+	reply := ex.awaitPermit(ctx, a)
+	now := clock.Boot()
+	ex.mu.Lock()
+	times := permitTimes{askedAt: now}
+	if reply.Place == nil {
+		times.noneUntil = now.Add(reply.After)
+	}
+	ex.permitTimes[ex.service.Name] = times
+	defer ex.mu.Unlock()
+	if reply.Place != nil {
+		for _, e := range limited {
+			if e.Instance == reply.Place.Instance {
+				ex.picker.Begin(e, now)
+				return choice{endpoint: e, found: true}
+			}
+		}
+	}
+	return choice{cause: reply.Cause, retryAfter: reply.After}
+}
+
+// awaitPermit asks the authority for a permit and waits for the reply.
+func (f *Front) awaitPermit(ctx context.Context, a grant.Ask) grant.Reply {
+	start := clock.Boot()
+	defer func() { f.Meter.ObserveDuration("shallotgap_permit_wait_seconds", clock.Boot().Sub(start)) }()
+	f.mu.Lock()
+	leaderless := f.leader == ""
+	f.mu.Unlock()
+	if leaderless {
+		return f.permitFromShare(a)
+	}
+	req := f.openGrantRequest(a)
+	timer := time.NewTimer(a.Left + permitTimeout)
+	defer timer.Stop()
+	select {
+	case r := <-req.reply:
+		f.closeGrantRequest(req)
+		return r
+	case <-ctx.Done():
+		f.withdraw(req)
+		return grant.Reply{ID: a.ID, Cause: grant.TooLate}
+	case <-timer.C:
+		f.withdraw(req)
+		return f.permitFromShare(a)
+	}
+}
+
+// permitFromShare permits a send from this host's share of the limits, which is safe if all hosts use theirs.
+func (f *Front) permitFromShare(a grant.Ask) grant.Reply {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := clock.Boot()
+	shortest := time.Duration(0)
+	for _, i := range a.Permit {
+		wait := f.limits.takeShare(i, f.entryHosts, now)
+		if wait == 0 {
+			return grant.Reply{Place: &grant.Place{Instance: i}}
+		}
+		if shortest == 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return grant.Reply{Cause: grant.Limited, After: shortest}
+}
--- a/io/front/plain.go
+++ b/io/front/plain.go
@@ -32,17 +32,18 @@
 		if ex.sends == 0 {
 			ex.countRequest()
 		}
-		e, ok := ex.choose(avoid)
-		if !ok && len(avoid) > 0 {
+		c := ex.choose(ctx, avoid)
+		if !c.found && len(avoid) > 0 && c.cause == "" {
 			// All endpoints were tried. Start over: the first may have recovered, or its failure may be transient.
 			pause(ctx, sameEndpointPause)
 			avoid = nil
-			e, ok = ex.choose(avoid)
+			c = ex.choose(ctx, avoid)
 		}
-		if !ok {
-			ex.fail("no-endpoint", failedRetryAfter)
+		if !c.found {
+			ex.failUnchosen(ctx, c)
 			return
 		}
+		e := c.endpoint
 		avoid = append(avoid, e.Instance.ID)
 		switch result := ex.sendPlain(ctx, e); {
 		case result == sendDone:
@@ -58,6 +59,18 @@
 	ex.fail("endpoints-full", failedRetryAfter)
 }
 
+// failUnchosen ends a request that no endpoint may be sent.
+func (ex *exchange) failUnchosen(ctx context.Context, c choice) {
+	switch {
+	case ctx.Err() != nil:
+		ex.fail(failureCause(ctx), 0)
+	case c.cause != "":
+		ex.fail(string(c.cause), c.retryAfter)
+	default:
+		ex.fail("no-endpoint", failedRetryAfter)
+	}
+}
+
 // maxExtraSends is the number of sends allowed in addition to the route's attempts, for endpoints that reject the request.
 const maxExtraSends = 2
 
@@ -73,22 +86,6 @@
 	}
 }
 
-// choose picks an endpoint of the service that is not in avoid, and counts a request as running there until
-// endSend is called.
-func (ex *exchange) choose(avoid []ident.EndpointID) (census.Entry, bool) {
-	ex.mu.Lock()
-	defer ex.mu.Unlock()
-	now := clock.Boot()
-	list := ex.census.ByService(ex.service.Name)
-	e, ok := ex.picker.Choose(list, avoid, now)
-	if !ok {
-		ex.logDecision("choose", "", "none", "known="+strconv.Itoa(len(list))+" avoided="+strconv.Itoa(len(avoid)))
-		return e, false
-	}
-	ex.picker.Begin(e, now)
-	return e, true
-}
-
 // retryBudget returns this host's share of the service's retry budget. ex.mu must be held.
 func (ex *exchange) retryBudget() *grant.Budget {
 	b := ex.retryBudgets[ex.service.Name]
@@ -125,7 +122,7 @@
 	ex.sends++
 	defer resp.Finish()
 	v := ex.Dialect.Verdict(ex.call.ID, resp.StatusCode, resp.Header)
-	ex.noteLimit(e.Instance, v, resp.StatusCode)
+	ex.noteLimit(e.Instance, v, resp.StatusCode, sentAt)
 	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBody))
 	tooLong := err == nil && !resp.Complete() && len(body) == maxBufferedBody
 	switch {
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -98,7 +98,7 @@
 	ex.sends++
 	defer resp.Finish()
 	v := ex.Dialect.Verdict(ex.call.ID, resp.StatusCode, resp.Header)
-	ex.noteLimit(p.Instance, v, resp.StatusCode)
+	ex.noteLimit(p.Instance, v, resp.StatusCode, sentAt)
 	switch {
 	case v.Mismatched || (resp.StatusCode/100 == 2 && !v.Authentic):
 		resp.Abort()
--- a/io/link/message.go
+++ b/io/link/message.go
@@ -11,6 +11,7 @@
 	"shallotgap/core/grant"
 	"shallotgap/core/ident"
 	"shallotgap/core/layout"
+	"shallotgap/core/limit"
 	"shallotgap/core/poison"
 	"shallotgap/core/quorum"
 )
@@ -46,6 +47,8 @@
 	Change          *layout.Change          `json:"change,omitempty"`
 	Newest          *Newest                 `json:"newest,omitempty"`
 	Poison          *poison.Snapshot        `json:"poison,omitempty"`
+	LimitSeen       *limit.Seen             `json:"limit-seen,omitempty"`
+	Limits          *Limits                 `json:"limits,omitempty"`
 	Call            *Call                   `json:"call,omitempty"`
 	EndpointCall    *EndpointCall           `json:"endpoint-call,omitempty"`
 	Answer          *Answer                 `json:"answer,omitempty"`
@@ -60,6 +63,7 @@
 	Layout  layout.Version `json:"layout,omitempty"`
 	Changes uint64         `json:"changes,omitempty"` // number of adapter version changes applied
 	Poison  uint64         `json:"poison,omitempty"`  // number of changes to the suspected and blocked parts
+	Limits  uint64         `json:"limits,omitempty"`  // number of changes to the limits of endpoints
 	// Control lists the control hosts known to the sender.
 	Control []ident.HostID `json:"control,omitempty"`
 	// EntryHosts is the number of ready entry hosts that recently announced themselves to the sender.
@@ -85,16 +89,19 @@
 	LastServed []grant.Residency `json:"lately,omitempty"`
 	// Written lists the parts of prompts that engines wrote on lately for this entry host.
 	Written []poison.Part `json:"written,omitempty"`
+	// Limits are the limits of endpoints that this entry host knows.
+	Limits []limit.Seen `json:"limits,omitempty"`
 	// SendCounts holds, for each service, the first sends to engines and the retries within the window of the retry budget.
 	SendCounts map[ident.Service]grant.Sends `json:"sent,omitempty"`
 }
 
-// Fetch requests the layout, the adapter versions and the suspected and blocked parts from a control host, each only if the state there is newer than that of
-// the sender, which the fields name.
+// Fetch requests the layout, the adapter versions, the suspected and blocked parts and the limits of endpoints from a control host,
+// each only if the state there is newer than that of the sender, which the fields name.
 type Fetch struct {
 	Layout  layout.Version `json:"layout,omitempty"`
 	Changes uint64         `json:"changes,omitempty"`
 	Poison  uint64         `json:"poison,omitempty"`
+	Limits  uint64         `json:"limits,omitempty"`
 	// Endpoints requests the endpoints that entry hosts need.
 	Endpoints bool `json:"endpoints,omitempty"`
 }
@@ -112,6 +119,15 @@
 	List    []book.Newest `json:"list"`
 }
 
+// Limits lists the limits of endpoints.
+type Limits struct {
+	limit.Snapshot
+	// Rank is the receiver's position among Hosts entry hosts. While no leader is known, each of them sends its share of a limit, and
+	// hosts with different ranks send at different times.
+	Rank  int `json:"rank,omitempty"`
+	Hosts int `json:"hosts,omitempty"`
+}
+
 // Call is an operator's command or read that a host forwards to the leader.
 type Call struct {
 	ID      uint64       `json:"id"`
--- a/io/voter/lead.go
+++ b/io/voter/lead.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"shallotgap/core/book"
 	"shallotgap/core/census"
 	"shallotgap/core/grant"
 	"shallotgap/core/ident"
@@ -56,6 +57,7 @@
 		v.leadership.ordersFrom = v.lastOrder.Add(v.OrderPause)
 	}
 	v.leadership.authority.SetPoison(v.book.Poison)
+	v.leadership.authority.SetLimits(v.book.Limits, now)
 	v.leadership.setLayout(v.book.Layout, v.census.List())
 	for _, n := range v.book.List() {
 		v.leadership.authority.SetNewest(n)
@@ -85,10 +87,15 @@
 		v.leadership.authority.End(*m.End, now)
 	case m.Written != "":
 		v.leadership.authority.Written(m.Written, now)
+	case m.LimitSeen != nil:
+		v.leadership.authority.ObserveLimit(*m.LimitSeen, now)
 	case m.Withdraw != "":
 		v.leadership.authority.Withdraw(m.Withdraw)
 	case m.Live != nil && m.Live.Term == v.leadership.term:
 		v.leadership.authority.AddWritten(m.Live.Written, now)
+		for _, s := range m.Live.Limits {
+			v.leadership.authority.ObserveLimit(s, now)
+		}
 		for _, l := range m.Live.Places {
 			v.leadership.authority.Resume(l, now)
 		}
@@ -121,7 +128,13 @@
 		v.probe(ctx, t)
 	}
 	for _, c := range e.Poison {
-		v.proposePoison(c)
+		v.proposeCommand("poison", book.Command{Poison: &c})
+	}
+	for _, c := range e.Limits {
+		v.proposeCommand("limit", book.Command{Limits: &c})
+	}
+	for _, s := range e.Sends {
+		v.Meter.Count("shallotgap_limited_sends_total", "kind", string(s.Kind))
 	}
 }
 
--- a/io/voter/log.go
+++ b/io/voter/log.go
@@ -94,6 +94,8 @@
 		log.WithField("model", c.Newest.Of.Model).WithField("adapter", c.Newest.Of.Adapter).WithField("version", c.Newest.Version).Info("newest")
 	case c.Poison != nil:
 		v.logPoison(*c.Poison)
+	case c.Limits != nil:
+		v.logLimits(*c.Limits)
 	}
 	if v.leadership == nil {
 		return
--- a/io/voter/poison.go
+++ b/io/voter/poison.go
@@ -43,15 +43,15 @@
 	}()
 }
 
-// proposePoison appends a change of the suspected and blocked parts to the log. A change that is lost with the leadership is made
-// again by later evidence.
-func (v *Voter) proposePoison(c poison.Command) {
-	data, err := wire.Marshal(book.Command{Poison: &c})
+// proposeCommand appends a command of the authority to the log. A command that is lost with the leadership is made again by later
+// evidence.
+func (v *Voter) proposeCommand(step string, c book.Command) {
+	data, err := wire.Marshal(c)
 	if err == nil {
 		_, err = v.node.Propose(data)
 	}
 	if err != nil {
-		v.Log.WithField("step", "poison").WithError(err).Warn("not-proposed")
+		v.Log.WithField("step", step).WithError(err).Warn("not-proposed")
 	}
 }
 
--- a/io/voter/status.go
+++ b/io/voter/status.go
@@ -19,7 +19,7 @@
 
 func (v *Voter) status() *link.Status {
 	leader, term := v.node.Leader()
-	s := &link.Status{Leader: leader, Term: term, Leads: v.leadership != nil, Changes: v.book.Changes, Poison: v.book.Poison.Changes, Control: v.controlHosts(), EntryHosts: v.countReadyEntryHosts(clock.Boot())}
+	s := &link.Status{Leader: leader, Term: term, Leads: v.leadership != nil, Changes: v.book.Changes, Poison: v.book.Poison.Changes, Limits: v.book.Limits.Changes, Control: v.controlHosts(), EntryHosts: v.countReadyEntryHosts(clock.Boot())}
 	if v.book.Layout != nil {
 		s.Layout = v.book.Layout.Version
 	}
@@ -57,7 +57,8 @@
 	v.mesh.SendAll(link.Message{Status: v.status()}, func(link.Hello) bool { return true })
 }
 
-// serveFetch sends an entry host the layout, the adapter versions and the suspected and blocked parts, each only if the host has an older state.
+// serveFetch sends an entry host the layout, the adapter versions, the suspected and blocked parts and the limits of endpoints, each
+// only if the host has an older state.
 func (v *Voter) serveFetch(to ident.HostID, f link.Fetch) {
 	if l := v.book.Layout; l != nil && l.Version > f.Layout {
 		c := v.changeFrom(f.Layout)
@@ -71,6 +72,9 @@
 		s.Instances = nil // only the table itself needs them
 		v.mesh.Send(to, link.Message{Poison: &s})
 	}
+	if v.book.Limits.Changes > f.Limits {
+		v.sendLimits(to)
+	}
 	if f.Endpoints {
 		list := census.Followed(v.heardEndpoints(), v.isPlain)
 		v.mesh.Send(to, link.Message{Endpoints: &link.Endpoints{List: list, Settled: v.census.HeardFor() > v.census.Retention}})
