Keep orders from using up the limits of engines

Change: an order costs the time of the send that it takes; a limited engine whose turn comes too late is no option while another usable engine has no limit.

--- a/core/grant/limit.go
+++ b/core/grant/limit.go
@@ -111,7 +111,8 @@
 	onTime := w.meetsTarget(o, now)
 	extra := o.startDelay - before + o.queueDelay
 	o.firstEvent += extra
-	o.cost += extra
+	orders := time.Duration(sends-1) * t.limits.Interval(i) // an order takes the place of a request
+	o.cost += extra + orders
 	if onTime && !w.meetsTarget(o, now) {
 		o.cost += lateCost
 	}
@@ -119,11 +120,16 @@
 	case !o.load && idle > probeAfter:
 		o.cost -= probeBonus
 	case o.load && idle > loadProbeAfter:
-		o.cost -= probeBonus + t.LoadCost + t.AdapterLoadTime
+		o.cost -= probeBonus + orders + t.LoadCost + t.AdapterLoadTime
 	}
 	return o
 }
 
+// startsInTime reports whether an option starts before the request has spent MaxWaitShare of the caller's event timeout.
+func (t *Authority) startsInTime(o option, w *waiter, now ident.Time) bool {
+	return now.Sub(w.since)+o.startDelay+o.queueDelay <= time.Duration(t.MaxWaitShare*float64(w.eventTimeout))
+}
+
 // plannedBefore counts the requests of the given or a more urgent priority that wait for an engine.
 func (e *engine) plannedBefore(priority int) int {
 	n := 0
--- a/core/grant/limit_test.go
+++ b/core/grant/limit_test.go
@@ -217,3 +217,24 @@
 		assert.Equal(t, got["x"].Cause, grant.Limited)
 	})
 }
+
+// Many rare adapters on few slots, with some engines limited. Loads must not eat up their limits, and requests must not be rejected for a
+// limited engine while others may get room: the limited engines serve more than if they were absent.
+func TestLimitedEnginesAreBetterThanNone(t *testing.T) {
+	play := func(engines int, rates ...limit.Rate) int {
+		s := newLimitedSim(t, engines, rates...)
+		s.storeLoadLimit = 8
+		s.advance(time.Second)
+		s.traffic(43, 40*time.Second, func() string { return s.zipf(3000, 1) })
+		s.advance(5 * time.Second)
+		s.checkWindows()
+		t.Logf("%d engines, limits %v: served %d of %d, rejected %v", engines, rates, s.served, s.asked, s.causes)
+		return s.served
+	}
+	for name, rates := range map[string][]limit.Rate{"two of twelve": {1, 1.5}, "four of twelve": {1, 1.5, 1, 2}, "half": {1, 1.5, 1, 2, 1, 1}} {
+		t.Run(name, func(t *testing.T) {
+			absent := play(12 - len(rates))
+			assert.Assert(t, play(12, rates...) >= absent)
+		})
+	}
+}
--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -80,10 +80,9 @@
 // MaxWaitShare of the caller's event timeout.
 func (t *Authority) waitOrReject(w *waiter, best option, now ident.Time) {
 	w.lastOption = ""
-	delay := best.startDelay + best.queueDelay
-	if now.Sub(w.since)+delay > time.Duration(t.MaxWaitShare*float64(w.eventTimeout)) {
+	if !t.startsInTime(best, w, now) {
 		w.lastOption = best.logText()
-		t.rejectWaiter(w, best.lateCause(), delay)
+		t.rejectWaiter(w, best.lateCause(), best.startDelay+best.queueDelay)
 		return
 	}
 	w.planOn(best.engine, best.prefill)
@@ -170,10 +169,11 @@
 	return FirstSend
 }
 
-// bestOption returns the option with the lowest cost.
+// bestOption returns the option with the lowest cost. An engine whose limit lets the request start too late counts only if all usable
+// engines have limits; others may get room before that.
 func (t *Authority) bestOption(w *waiter, engine *layout.Engine, now ident.Time) (option, bool) {
-	var best option
-	found := false
+	var best, late option
+	found, foundLate, unlimited := false, false, false
 	storeBusy := t.storeSaturated()
 	for _, e := range t.candidates(w.ask.Ref) {
 		if e.entry.Service != w.ask.Service || !e.usable(now, t.Params) || !e.holdsModel(w.ask.Ref.Model) || slices.Contains(w.ask.Avoid, e.entry.Instance.ID) {
@@ -182,14 +182,24 @@
 		if e.failures.recentlyUnreachable(now) || (len(w.suspects) > 0 && e.runsSuspect()) {
 			continue
 		}
+		unlimited = unlimited || !t.limits.Limited(e.entry.Instance)
 		o, ok := t.option(e, w, engine, storeBusy, now)
 		if ok {
 			o = t.addLimitDelay(o, w, now)
 		}
-		if ok && (!found || o.cost < best.cost) {
+		switch {
+		case !ok:
+		case o.limited && !t.startsInTime(o, w, now):
+			if !foundLate || o.cost < late.cost {
+				late, foundLate = o, true
+			}
+		case !found || o.cost < best.cost:
 			best, found = o, true
 		}
 	}
+	if !found && !unlimited {
+		return late, foundLate
+	}
 	return best, found
 }
 
--- a/core/limit/pool.go
+++ b/core/limit/pool.go
@@ -125,6 +125,14 @@
 	return 0
 }
 
+// Interval returns the time between two sends to an endpoint; 0 for one without a limit.
+func (p *Pool) Interval(i ident.Instance) time.Duration {
+	if e := p.endpoints[i]; e != nil {
+		return e.pacer.interval
+	}
+	return 0
+}
+
 // Take counts a send to an endpoint, and reports whether the endpoint has a limit.
 func (p *Pool) Take(i ident.Instance, now ident.Time) bool {
 	e := p.endpoints[i]
