Keep the limits of endpoints in the product's own mode; list them

Change: endpoints name a limit in answers (Shallotgap-Rate-Limit) or announcements; the owner, which all sends pass, paces requests, loads and inspections, rejects at once what can't be served in time (endpoint-limit) and replicates the limit, so that the next owner knows it.

--- a/core/lease/owners.go
+++ b/core/lease/owners.go
@@ -9,6 +9,7 @@
 	"net/url"
 
 	"shallotgap/core/ident"
+	"shallotgap/core/limit"
 	"shallotgap/core/table"
 )
 
@@ -41,6 +42,8 @@
 	EchoesID bool `json:"echoes-id,omitempty"`
 	// Leaving is true once the endpoint has started a graceful shutdown; it accepts no new requests.
 	Leaving bool `json:"leaving,omitempty"`
+	// Limit is the number of requests a second that the endpoint takes from all hosts together; 0 for no limit.
+	Limit limit.Rate `json:"limit,omitempty"`
 }
 
 // Address returns the IP address or host name in the endpoint's URL; "" when there is none.
--- a/core/limit/pool.go
+++ b/core/limit/pool.go
@@ -31,10 +31,13 @@
 	forgetAfter = 10 * time.Minute
 )
 
-// Pool paces the sends of all hosts to the endpoints with limits. Only the leader uses it.
+// Pool paces the sends of all hosts to endpoints with limits. It is used where all sends to them are decided: by the leader, or by the
+// owner of the endpoints.
 type Pool struct {
 	endpoints map[ident.Instance]*endpoint
-	changes   []Change
+	// owns reports whether this host decides on the sends to an endpoint; nil for all.
+	owns    func(ident.Instance) bool
+	changes []Change
 	// syncedAt is when the pool was last compared with the replicated table, droppedAt when records were last removed from it.
 	syncedAt, droppedAt ident.Time
 }
@@ -65,6 +68,26 @@
 	return p
 }
 
+// NewOwnedPool returns the pool of a host that decides on the sends to some endpoints.
+func NewOwnedPool(owns func(ident.Instance) bool) *Pool {
+	return &Pool{endpoints: map[ident.Instance]*endpoint{}, owns: owns}
+}
+
+// Adopt adds the endpoints that this host owns now, with their limits from the replicated table, and removes those that it owns no
+// more.
+func (p *Pool) Adopt(table *Table, now ident.Time) {
+	for i := range p.endpoints {
+		if !p.owns(i) {
+			delete(p.endpoints, i)
+		}
+	}
+	for _, r := range table.List() {
+		if p.endpoints[r.Instance] == nil && p.owns(r.Instance) {
+			p.add(r, now)
+		}
+	}
+}
+
 // add adds an endpoint whose first send is due once all earlier ones have left their hosts.
 func (p *Pool) add(r Record, now ident.Time) *endpoint {
 	e := &endpoint{record: r, pacer: NewPacer(r.Rate, now.Add(PermitLife)), namedAt: now, sentAt: now}
@@ -111,6 +134,14 @@
 	}
 }
 
+// Rate returns the limit of an endpoint.
+func (p *Pool) Rate(i ident.Instance) (Rate, bool) {
+	if e := p.endpoints[i]; e != nil {
+		return e.record.Rate, true
+	}
+	return 0, false
+}
+
 // Limited reports whether an endpoint has a limit.
 func (p *Pool) Limited(i ident.Instance) bool { return p.endpoints[i] != nil }
 
@@ -186,7 +217,7 @@
 	}
 	if now.Sub(p.droppedAt) >= proposeInterval {
 		for _, r := range table.List() {
-			if p.endpoints[r.Instance] == nil {
+			if p.endpoints[r.Instance] == nil && (p.owns == nil || p.owns(r.Instance)) {
 				c.Drop = append(c.Drop, r.Instance)
 				p.droppedAt = now
 			}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -7,6 +7,7 @@
 
 	"shallotgap/core/ident"
 	"shallotgap/core/lease"
+	"shallotgap/core/limit"
 	"shallotgap/core/rows"
 	"shallotgap/core/share"
 	"shallotgap/core/work"
@@ -40,6 +41,8 @@
 	Queue []*Item
 	// ResidencyKnown is true once the owner has read from the engine which adapters it holds; until then, it requests no loads.
 	ResidencyKnown bool
+	// AnnouncedLimit is the limit in the announcement that was last applied.
+	AnnouncedLimit limit.Rate
 	// LastHeartbeat is when the owner last received a heartbeat of the endpoint, or last proposed to remove the silent endpoint.
 	LastHeartbeat ident.Time
 	// FrozenUntil is the end of the time after a takeover in which no adapter is evicted, as requests of the previous owner may
@@ -71,6 +74,12 @@
 	}
 }
 
+// Identity returns the endpoint with its instance.
+func (s *Site) Identity() ident.Instance { return ident.Instance{ID: s.ID, Born: s.Instance} }
+
+// InOrder returns the queued requests in dispatch order.
+func (s *Site) InOrder() []*Item { return slices.SortedFunc(slices.Values(s.Queue), compareItems) }
+
 // Report is the state of an endpoint that its owner sends to the other hosts for routing.
 type Report struct {
 	Endpoint ident.EndpointID `json:"endpoint"`
--- a/core/place/wait.go
+++ b/core/place/wait.go
@@ -21,11 +21,16 @@
 // EstimateWait estimates how long a new request of the given urgency waits for a place in the batch, from the average running
 // time and the number of queued requests that are at least as urgent.
 func (s *Site) EstimateWait(u work.Urgency) time.Duration {
-	ahead := 0
+	return s.meanRunTime * time.Duration(s.AtLeastAsUrgent(u)) / time.Duration(max(1, s.MaxRunning))
+}
+
+// AtLeastAsUrgent returns the number of queued requests that are at least as urgent.
+func (s *Site) AtLeastAsUrgent(u work.Urgency) int {
+	n := 0
 	for _, item := range s.Queue {
 		if item.Urgency >= u {
-			ahead++
+			n++
 		}
 	}
-	return s.meanRunTime * time.Duration(ahead) / time.Duration(max(1, s.MaxRunning))
+	return n
 }
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -7,6 +7,7 @@
 	"shallotgap/core/drain"
 	"shallotgap/core/ident"
 	"shallotgap/core/lease"
+	"shallotgap/core/limit"
 	"shallotgap/core/poison"
 	"shallotgap/core/rows"
 )
@@ -28,6 +29,8 @@
 	ReadClaim *claim.Name `json:"look,omitempty"`
 	// Poison changes the suspected and blocked contents of requests.
 	Poison *poison.Command `json:"poison,omitempty"`
+	// Limits changes the limits that endpoints name in their answers.
+	Limits *limit.Command `json:"limits,omitempty"`
 }
 
 // Depart removes an endpoint instance.
@@ -60,6 +63,8 @@
 	Claims  *claim.Registry
 	// Poison holds the contents of requests that are suspected to crash endpoints or are blocked for it.
 	Poison *poison.Table
+	// Limits holds the limits that endpoints ask for.
+	Limits *limit.Table
 }
 
 // Changed reports whether the command may have changed the state, so that hosts without a data folder need it. A rejected
@@ -70,7 +75,7 @@
 
 // New returns the empty state before the first log entry.
 func New() *State {
-	return &State{Rows: rows.New(), Owners: lease.NewOwners(), Stops: drain.NewStops(), Claims: claim.New(), Poison: poison.NewTable()}
+	return &State{Rows: rows.New(), Owners: lease.NewOwners(), Stops: drain.NewStops(), Claims: claim.New(), Poison: poison.NewTable(), Limits: limit.NewTable()}
 }
 
 // Apply applies the command of log entry i. An entry that is already applied changes nothing.
@@ -97,6 +102,8 @@
 		s.Stops.Advance(i, *c.Progress, c.Wall, s.Owners)
 	case c.Poison != nil:
 		s.Poison.Apply(*c.Poison)
+	case c.Limits != nil:
+		s.Limits.Apply(*c.Limits)
 	default:
 		s.applyClaim(c, &res)
 	}
@@ -147,11 +154,12 @@
 	// Clock is the wall-clock second (Unix) up to which claims have been expired; expiry continues from this time.
 	Clock  int64           `json:"clock,omitempty"`
 	Poison poison.Snapshot `json:"poison,omitempty"`
+	Limits limit.Snapshot  `json:"limits,omitempty"`
 }
 
 // Snapshot returns a copy of the state: all of it for a voter, without claims and results of edits for other hosts.
 func (s *State) Snapshot(voter bool) Snapshot {
-	snap := Snapshot{Applied: s.Applied, Rows: s.Rows.Snapshot(voter), Owners: s.Owners.List(), Departed: s.Owners.ListDeparted(), Stops: s.Stops.Snapshot(), Poison: s.Poison.Snapshot()}
+	snap := Snapshot{Applied: s.Applied, Rows: s.Rows.Snapshot(voter), Owners: s.Owners.List(), Departed: s.Owners.ListDeparted(), Stops: s.Stops.Snapshot(), Poison: s.Poison.Snapshot(), Limits: s.Limits.Snapshot()}
 	if voter {
 		snap.Claims = s.Claims.List()
 		snap.Clock = s.Claims.Clock()
@@ -170,5 +178,6 @@
 		Stops:   drain.RestoreStops(s.Stops),
 		Claims:  claims,
 		Poison:  poison.Restore(s.Poison),
+		Limits:  limit.Restore(s.Limits),
 	}
 }
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -88,6 +88,7 @@
 	WrongToken     Reason = "wrong-token"     // the request has no token that is valid for its path
 	Stopping       Reason = "stopping"        // the host or endpoint is stopping
 	Poison         Reason = "poison"          // endpoints crash with the request's content, which is blocked
+	EndpointLimit  Reason = "endpoint-limit"  // the endpoint takes no more requests a second
 )
 
 // Refusal is the final answer to a request that the system rejects or abandons.
--- a/core/world/dispatch.go
+++ b/core/world/dispatch.go
@@ -34,6 +34,7 @@
 // start sends a request to its endpoint, with the time left until its deadline.
 func (w *World) start(site *place.Site, item *place.Item) {
 	waited := site.Waited(item, w.now)
+	w.takeSends(site, 1)
 	site.Start(item, w.now)
 	w.note(item.ID, "dispatch", "the adapter is resident and the batch has room", string(site.ID))
 	r := item.Request
@@ -73,6 +74,7 @@
 	if owned {
 		site.End(item, w.now)
 		w.watchEnd(item, e)
+		w.noteLimit(site, item, e)
 	}
 	delete(w.items, e.ID)
 	w.note(e.ID, "answer", string(e.State)+" "+e.Detail, string(item.Endpoint))
--- a/core/world/event.go
+++ b/core/world/event.go
@@ -4,6 +4,7 @@
 	"shallotgap/core/claim"
 	"shallotgap/core/ident"
 	"shallotgap/core/lease"
+	"shallotgap/core/limit"
 	"shallotgap/core/quorum"
 	"shallotgap/core/state"
 	"shallotgap/core/work"
@@ -61,6 +62,8 @@
 	// Answer is the answer to store for an at-most-once request; nil if the request got no answer.
 	Answer *claim.Answer `json:"answer,omitempty"`
 	Detail string        `json:"detail,omitempty"`
+	// Limit is what the answer says about the endpoint's limit; nil without an answer.
+	Limit *limit.Signal `json:"limit,omitempty"`
 }
 
 // Loaded reports the outcome of a load order; Err is empty on success.
--- a/core/world/handover.go
+++ b/core/world/handover.go
@@ -155,7 +155,7 @@
 		return
 	}
 	takeover.nextInspect = w.now.Add(inspectInterval)
-	w.emit(Effect{Inspect: &Inspect{Endpoint: site.Owned}})
+	w.inspect(site)
 }
 
 // formerOwnersGone reports whether no former owner can still send requests to an endpoint of this host: there was no former
--- a/core/world/limit.go
+++ b/core/world/limit.go
@@ -1,6 +1,8 @@
 package world
 
 import (
+	"time"
+
 	"shallotgap/core/ident"
 	"shallotgap/core/place"
 	"shallotgap/core/route"
@@ -41,6 +43,9 @@
 		return false
 	}
 	site := w.sites[item.Endpoint]
+	if site != nil && w.limits.Wait(site.Identity(), w.now) > 0 {
+		return false
+	}
 	row, ok := w.state.Rows.Get(item.Row())
 	if !ok || row.MaxRunning == 0 || site == nil || item.Service != "" {
 		return true
@@ -54,8 +59,14 @@
 	if r := w.admitRate(site, item); r != nil {
 		return r
 	}
+	if item.Urgency == work.Bulk {
+		return nil
+	}
+	if wait := w.limits.WaitFor(site.Identity(), 1+site.AtLeastAsUrgent(item.Urgency), w.now); wait > longestLimitWait(item) {
+		return limitRefusal(site, wait)
+	}
 	wait := site.EstimateWait(item.Urgency)
-	if item.Urgency == work.Bulk || wait <= item.TimeLeft {
+	if wait <= item.TimeLeft {
 		return nil
 	}
 	return &work.Refusal{
@@ -63,6 +74,11 @@
 	}
 }
 
+// limitRefusal rejects a request whose turn under the limit of its endpoint comes too late.
+func limitRefusal(site *place.Site, wait time.Duration) *work.Refusal {
+	return &work.Refusal{Outcome: work.NotRun, Reason: work.EndpointLimit, Step: "limit", Peer: string(site.ID), RetryAfter: wait}
+}
+
 // admitRate applies the endpoint's share of the row's rate limit to a request; it returns the rejection or nil.
 func (w *World) admitRate(site *place.Site, item *place.Item) *work.Refusal {
 	row, ok := w.state.Rows.Get(item.Row())
--- a/core/world/loads.go
+++ b/core/world/loads.go
@@ -11,7 +11,7 @@
 // slot.
 func (w *World) granted(g place.Grant) {
 	site := w.sites[g.Endpoint]
-	if site == nil || !site.ResidencyKnown || !w.Serving() || !site.NeedsLoad(g.Model) {
+	if site == nil || !site.ResidencyKnown || !w.Serving() || !site.NeedsLoad(g.Model) || w.limits.Wait(site.Identity(), w.now) > 0 {
 		w.returnGrant(place.GrantEnd{Grant: g, Unused: true})
 		return
 	}
@@ -20,7 +20,9 @@
 		w.returnGrant(place.GrantEnd{Grant: g, Unused: true})
 		return
 	}
+	w.takeSends(site, 1)
 	if evict != nil {
+		w.takeSends(site, 1)
 		delete(site.Slots, *evict)
 	}
 	bulk := site.Urgency(g.Model) == work.Bulk
@@ -62,10 +64,16 @@
 // inspectAgain inspects an engine whose residency may differ from what this host knows.
 func (w *World) inspectAgain(site *place.Site) {
 	if site.Kind == lease.Engine {
-		w.emit(Effect{Inspect: &Inspect{Endpoint: site.Owned}})
+		w.inspect(site)
 	}
 }
 
+// inspect asks an engine which adapters it holds.
+func (w *World) inspect(site *place.Site) {
+	w.takeSends(site, 1)
+	w.emit(Effect{Inspect: &Inspect{Endpoint: site.Owned}})
+}
+
 // loadFailed sends the requests that wait for the adapter back to their entry hosts, which try other engines. Bulk requests
 // stay queued until the next load attempt.
 func (w *World) loadFailed(site *place.Site, m ident.Model) {
--- a/core/world/report.go
+++ b/core/world/report.go
@@ -55,7 +55,7 @@
 func (w *World) reportResidency() {
 	var changed []place.Report
 	for _, id := range sortedKeys(w.sites) {
-		r := w.sites[id].Report()
+		r := w.reportOf(w.sites[id])
 		encoded := encodeResidency(r)
 		if w.reportSchedule.lastResidency[id] != encoded {
 			w.reportSchedule.lastResidency[id] = encoded
@@ -88,7 +88,7 @@
 	var changed []place.Report
 	bytes := 0
 	for _, id := range sortedKeys(w.sites) {
-		r := w.sites[id].Report()
+		r := w.reportOf(w.sites[id])
 		encoded := encodeReport(r)
 		if w.reportSchedule.lastLoad[id] != encoded {
 			w.reportSchedule.lastLoad[id] = encoded
@@ -129,7 +129,7 @@
 	}
 	id := ids[n%len(ids)]
 	w.reportSchedule.lastRefreshed = id
-	r := w.sites[id].Report()
+	r := w.reportOf(w.sites[id])
 	hosts := w.otherHosts()
 	w.sendReports(hosts, []place.Report{r})
 	w.reportSchedule.nextRefresh = w.now.Add(max(minRefreshInterval, transmitTime(len(encodeReport(r))*len(hosts), refreshBytesPerSecond)))
@@ -139,7 +139,7 @@
 func (w *World) sendAllReports(host ident.HostID) {
 	var list []place.Report
 	for _, id := range sortedKeys(w.sites) {
-		list = append(list, w.sites[id].Report())
+		list = append(list, w.reportOf(w.sites[id]))
 	}
 	w.sendReports([]ident.HostID{host}, list)
 }
@@ -175,7 +175,7 @@
 		all[id] = r
 	}
 	for id, site := range w.sites {
-		all[id] = site.Report()
+		all[id] = w.reportOf(site)
 	}
 	list := make([]place.Report, 0, len(all))
 	for _, id := range sortedKeys(all) {
--- a/core/world/serve.go
+++ b/core/world/serve.go
@@ -170,7 +170,8 @@
 func (w *World) candidate(e lease.Owned, m ident.Model) route.Candidate {
 	c := route.Candidate{Endpoint: e.ID, Owner: e.Owner, MaxRunning: e.MaxRunning}
 	if site := w.sites[e.ID]; site != nil {
-		c.Running, c.Queued = site.Running, len(site.Queue)
+		report := w.reportOf(site)
+		c.Running, c.Queued = report.Running, report.Queued
 		c.Resident, c.Loading, c.Waiting = site.Residency(m)
 		return c
 	}
--- a/core/world/sites.go
+++ b/core/world/sites.go
@@ -21,6 +21,7 @@
 	if version == w.sitesVersion {
 		return
 	}
+	defer w.syncLimits()
 	w.sitesVersion = version
 	for _, id := range sortedKeys(w.sites) {
 		e, ok := w.state.Owners.Get(id)
@@ -49,7 +50,7 @@
 	w.sites[e.ID] = site
 	w.takeovers[e.ID] = &takeover{startedAt: w.now, nextInspect: w.now.Add(inspectInterval), pins: map[ident.HostID][]*place.Slot{}}
 	if e.Kind == lease.Engine {
-		w.emit(Effect{Inspect: &Inspect{Endpoint: e}})
+		w.inspect(site)
 		return
 	}
 	site.FrozenUntil = w.now
@@ -126,11 +127,15 @@
 		site := w.sites[id]
 		w.checkSilence(site)
 		site.UpdateClosedSlots(w.now)
-		wants = append(wants, site.LoadRequests(w.now)...)
+		w.rejectOverLimit(site)
+		if w.limits.Wait(site.Identity(), w.now) == 0 {
+			wants = append(wants, site.LoadRequests(w.now)...)
+		}
 		w.inspectFrozen(site)
 		w.departIdleLeaving(site)
 	}
 	w.sendWants(wants)
+	w.proposeLimits()
 }
 
 // sendWants sends the wanted loads to the leader. An empty list also replaces the previous one, but is sent only once per
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -102,6 +102,7 @@
 	drainSeenAt map[ident.Index]ident.Time
 	retryBudget share.RetryBudget
 	poisonWatch
+	limitWatch
 }
 
 // New returns the World of a host that starts at c.Now.
@@ -132,6 +133,7 @@
 		drainSeenAt: map[ident.Index]ident.Time{},
 		poisonWatch: newPoisonWatch(),
 	}
+	w.limitWatch = w.newLimitWatch()
 	if c.Stored == nil {
 		return w, nil
 	}
--- a/fakes/stand/announce.go
+++ b/fakes/stand/announce.go
@@ -24,6 +24,8 @@
 	ChecksFence bool   `json:"checks-fence,omitempty"`
 	Leaving     bool   `json:"leaving,omitempty"`
 	EchoesID    bool   `json:"echoes-id,omitempty"`
+	// Limit is the number of requests a second that the endpoint takes; 0 for no limit.
+	Limit float64 `json:"limit,omitempty"`
 	// Token is the bearer token that authenticates the endpoint to the entry hosts; empty for no authentication.
 	Token string `json:"-"`
 }
--- a/fakes/stand/engine.go
+++ b/fakes/stand/engine.go
@@ -74,7 +74,7 @@
 	mux.HandleFunc("POST /v1/unload_lora_adapter", e.unload)
 	mux.HandleFunc("POST /v1/completions", e.complete)
 	mux.HandleFunc("POST /v1/chat/completions", e.complete)
-	return mux
+	return e.counted(mux)
 }
 
 // Announcement returns the engine's announcement; url is the address at which the engine is reached.
@@ -84,7 +84,7 @@
 	return Announcement{
 		ID: e.ID, Kind: "engine", URL: url, Domain: e.Domain, Service: e.Model,
 		Slots: e.Slots, MaxRunning: e.Batch, Instance: e.instance, ChecksFence: !e.Unfenced,
-		Leaving: e.isLeaving(), EchoesID: !e.Mute, Token: e.Token,
+		Leaving: e.isLeaving(), EchoesID: !e.Mute, Token: e.Token, Limit: e.Faults().AnnouncedLimit,
 	}
 }
 
--- a/fakes/stand/fault.go
+++ b/fakes/stand/fault.go
@@ -23,13 +23,47 @@
 	RestartNext bool `json:"restart"`      // restart the engine at each POST /faults while set
 	// CrashOn is a text; the stand-in crashes and restarts when it begins to answer a request whose body holds it.
 	CrashOn string `json:"crash-on"`
+	// Limit is the number of requests a second that every answer names as the endpoint's limit; empty for none. AnnouncedLimit is
+	// named in announcements.
+	Limit          string  `json:"limit"`
+	AnnouncedLimit float64 `json:"announced-limit"`
 }
 
 // FaultInjector holds and applies the injected faults of one stand-in. It is safe for concurrent use.
 type FaultInjector struct {
-	mu      sync.Mutex
-	faults  Faults
-	crashes int
+	mu       sync.Mutex
+	faults   Faults
+	crashes  int
+	arrivals []time.Time
+}
+
+// counted returns a handler that records the arrival of each request to h, and names the limit in the answers.
+func (s *FaultInjector) counted(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		if r.URL.Path != "/faults" && r.URL.Path != "/counts" {
+			s.arrivals = append(s.arrivals, time.Now())
+		}
+		limit := s.faults.Limit
+		s.mu.Unlock()
+		if limit != "" {
+			w.Header().Set("Shallotgap-Rate-Limit", limit)
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// Arrivals returns the times of all requests since a moment, orders and questions about the state included.
+func (s *FaultInjector) Arrivals(since time.Time) []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []time.Time
+	for _, at := range s.arrivals {
+		if at.After(since) {
+			list = append(list, at)
+		}
+	}
+	return list
 }
 
 // crashesOn reports whether the stand-in crashes with a request body, and counts the crash.
--- a/fakes/stand/plain.go
+++ b/fakes/stand/plain.go
@@ -76,7 +76,7 @@
 func (s *Plain) Announcement(url string) Announcement {
 	return Announcement{
 		ID: s.ID, Kind: "plain", URL: url, Domain: s.Domain, Service: s.Service,
-		MaxRunning: plainMaxRunning, Instance: s.instance.Load(), Leaving: s.isLeaving(), Token: s.Token,
+		MaxRunning: plainMaxRunning, Instance: s.instance.Load(), Leaving: s.isLeaving(), Token: s.Token, Limit: s.Faults().AnnouncedLimit,
 	}
 }
 
@@ -86,7 +86,7 @@
 	mux.HandleFunc("POST /faults", s.ServeFaults)
 	mux.HandleFunc("GET /counts", s.serveCounts)
 	mux.HandleFunc("/", s.call)
-	return mux
+	return s.counted(mux)
 }
 
 // call handles a request: it counts a run of the idempotency key and answers with that count.
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -9,6 +9,7 @@
 
 	"shallotgap/core/drain"
 	"shallotgap/core/ident"
+	"shallotgap/core/limit"
 	"shallotgap/core/poison"
 	"shallotgap/core/rows"
 	"shallotgap/core/state"
@@ -46,6 +47,7 @@
 	mux.HandleFunc("GET /admin/stops", s.stops)
 	mux.Handle("POST /admin/stops", s.guardWrite(s.mark))
 	mux.HandleFunc("GET /admin/poison", s.poison)
+	mux.HandleFunc("GET /admin/limits", s.limits)
 	mux.Handle("DELETE /admin/poison/{part}", s.guardWrite(s.liftPoison))
 	mux.HandleFunc("GET /admin/hosts", s.hosts)
 	mux.HandleFunc("GET /admin/status", s.status)
@@ -164,6 +166,12 @@
 	s.writeView(w, r, &out, func(v *world.World) { out = poison.ListRecords(v.State().Poison.List()) })
 }
 
+// limits serves GET /admin/limits: the limits that endpoints ask for.
+func (s *Server) limits(w http.ResponseWriter, r *http.Request) {
+	out := []limit.Listed{}
+	s.writeView(w, r, &out, func(v *world.World) { out = limit.ListRecords(v.State().Limits.List()) })
+}
+
 // liftPoison serves DELETE /admin/poison/{part}.
 func (s *Server) liftPoison(w http.ResponseWriter, r *http.Request) {
 	s.propose(w, r, state.Command{Poison: &poison.Command{Lift: poison.Part(r.PathValue("part"))}})
--- a/io/cmds/cmds.go
+++ b/io/cmds/cmds.go
@@ -26,6 +26,7 @@
 	Check    Check        `cmd:"" help:"Check a settings file without starting."`
 	Table    Table        `cmd:"" help:"Read and edit the table of rows."`
 	Stop     Stop         `cmd:"" help:"Plan, withdraw and list planned stops."`
+	Limits   Limits       `cmd:"" help:"List the request rates that endpoints ask for."`
 	Poison   Poison       `cmd:"" help:"List and lift the parts of prompts that are blocked because engines crash with them."`
 	Status   Status       `cmd:"" help:"Show hosts, leader, leases, endpoints, residency, loads waited for and stops."`
 	Explain  Explain      `cmd:"" help:"Tell what happened to a request and why."`
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"shallotgap/core/ident"
+	"shallotgap/core/limit"
 	"shallotgap/core/work"
 	"shallotgap/core/world"
 	"shallotgap/io/logs"
@@ -28,6 +29,9 @@
 // KeyHeader carries the idempotency key of a request that must run at most once.
 const KeyHeader = "Idempotency-Key"
 
+// LimitHeader names, in an endpoint's answer, the requests a second that it takes from all hosts together.
+const LimitHeader = "Shallotgap-Rate-Limit"
+
 // Limits on an exchange with an endpoint.
 const (
 	maxAnswer    = 64 << 20 // bytes of an unstreamed answer
@@ -73,15 +77,20 @@
 		return failure(d, failedState(d.Request, g, err), failureReason(err), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	signal := limit.Read(resp.Header.Values(LimitHeader))
 	reader := &answerReader{dispatch: d, emit: emit}
-	err = reader.read(resp, call.Stream)
-	if errors.Is(err, errRejected) {
-		return failure(d, work.NotSent, failureReason(err), err)
-	}
-	if err != nil {
-		return failure(d, work.Broken, failureReason(err), err)
+	ended := world.Ended{ID: d.Request.ID, State: work.Answered}
+	if err = reader.read(resp, call.Stream); err != nil {
+		state := work.Broken
+		if errors.Is(err, errRejected) {
+			state = work.NotSent
+		}
+		ended = failure(d, state, failureReason(err), err)
+	} else {
+		ended.Answer = reader.stored
 	}
-	return world.Ended{ID: d.Request.ID, State: work.Answered, Answer: reader.stored}
+	ended.Limit = &signal
+	return ended
 }
 
 // clientFor returns the pooled client or, for a request that must run at most once, a client that opens a new
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -19,6 +19,7 @@
 	"shallotgap/core/grant"
 	"shallotgap/core/ident"
 	"shallotgap/core/layout"
+	"shallotgap/core/limit"
 	"shallotgap/core/poison"
 	"shallotgap/io/front"
 	"shallotgap/io/logs"
@@ -56,6 +57,8 @@
 	PoisonParts(ctx context.Context) ([]poison.Record, error)
 	// LiftPart removes a part from those on all hosts.
 	LiftPart(ctx context.Context, p poison.Part) error
+	// Limits returns the limits that endpoints ask for, as this host knows them.
+	Limits(ctx context.Context) ([]limit.Record, error)
 }
 
 var (
@@ -199,7 +202,7 @@
 	if h.Control == "" {
 		return nil
 	}
-	_, err := h.serveWith(ctx, h.Control, h.measuredServer(h.withPoisonCalls(c, h.edge.Control(h.Common, c))))
+	_, err := h.serveWith(ctx, h.Control, h.measuredServer(h.withLimitCalls(c, h.withPoisonCalls(c, h.edge.Control(h.Common, c)))))
 	return err
 }
 
--- a/io/texts/cli.go
+++ b/io/texts/cli.go
@@ -26,6 +26,7 @@
 	NoLogLines        = "no line of these logs names request %s\n"
 	ExplainLogsHeader = "AFTER\tHOST\tWHAT\tSTEP\tOUTCOME\tENDPOINT\tPEER\tINPUTS"
 	ExplainLogsGap    = "gap: %s\n"
+	LimitsHeader      = "ENDPOINT\tSERVICE\tREQUESTS/S"
 	PoisonHeader      = "PART\tSTATE\tCRASHES\tALONE\tBLOCKS"
 	PoisonLifted      = "part %s lifted: requests with it run again\n"
 	NothingMeasured   = "no request was measured yet\n"
--- a/io/texts/examples.go
+++ b/io/texts/examples.go
@@ -35,6 +35,7 @@
 shallotgap stop mark domain a --at 2026-12-03T22:00:00Z --until 2026-12-04T04:00:00Z`,
 	"stop withdraw": "shallotgap stop withdraw host e3",
 	"stop list":     "shallotgap stop list",
+	"limits":        "shallotgap limits --entry http://10.0.0.4:8144",
 	"poison list":   "shallotgap poison list --entry http://10.0.0.4:8144",
 	"poison lift":   "shallotgap poison lift 91bd3f06 --entry http://10.0.0.4:8144",
 	"status": `shallotgap status
--- a/io/texts/texts.go
+++ b/io/texts/texts.go
@@ -34,4 +34,5 @@
 	work.WrongModel:     "The endpoint answered for another adapter.",
 	work.Stopping:       "The host or endpoint is stopping.",
 	work.Poison:         "Endpoints crash with this request's content; it is blocked and was not run.",
+	work.EndpointLimit:  "The endpoint takes a limited number of requests a second, and the request's turn would come too late.",
 }
