Block requests that crash each endpoint which runs them

Cause: a failure that follows the work was handled as a failure of the host on which it shows; requests to plain services had nothing by which one host could tell the next one, and for streams only shared parts of prompts were known, not the request. Change: a request is recognized by keyed hashes of method, path, caller and body (for streams with the model and the shared parts): one with the caller, one for any. An entry host whose connection breaks looks whether the endpoint still listens; if not, it tells all hosts, through the control hosts, also while none leads. From then on the request needs a permit of the authority: once at a time, after earlier crashes are counted, never at the last endpoint of several. An answer clears it; the third crash blocks it in the replicated table. Without a leader a suspected request is rejected, and the next leader is told. A lifted request is on trial: one crash blocks it again. Operators see method, path and caller. Where no endpoint could be reached, the cause is endpoints-unreachable. TestOperatorLiftsCrashingRequest passes. Race detector: core/poison, core/grant, core/book, io/front, io/voter, platform pass.

--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -111,6 +111,7 @@
 // Observe updates the authority's view of an engine from its membership entry. Entries of plain endpoints are ignored.
 func (t *Authority) Observe(e census.Entry, now ident.Time) {
 	t.limits.Replaced(e.Instance, e.State == census.Gone)
+	t.heardOf(e.Instance, e.LastHeartbeat)
 	if t.layout == nil {
 		return
 	}
@@ -149,6 +150,7 @@
 
 // ObserveHeartbeat records the time of a heartbeat whose content is not known.
 func (t *Authority) ObserveHeartbeat(i ident.Instance, now ident.Time) {
+	t.heardOf(i, now)
 	if e := t.engines[i.ID]; e != nil && e.entry.Instance == i {
 		e.entry.LastHeartbeat = now
 	}
@@ -280,7 +282,7 @@
 // End frees the place of a request that ended and updates the estimates from its outcome.
 func (t *Authority) End(end End, now ident.Time) {
 	t.removeWaiter(end.ID)
-	t.withdrawPermit(end.ID)
+	t.endPermit(end, now)
 	e := t.engines[t.placements[end.ID]]
 	delete(t.placements, end.ID)
 	if e == nil {
--- a/core/grant/grant.go
+++ b/core/grant/grant.go
@@ -52,6 +52,9 @@
 	// Permit lists endpoints of a plain service with limits, one of which may be sent the request; empty for a request for a model.
 	// The request waits for at most Left.
 	Permit []ident.Instance `json:"permit,omitempty"`
+	// Whole are the parts that stand for the whole request. They are set while endpoints have crashed lately; a request for a plain
+	// service that is suspected needs a permit.
+	Whole []poison.Part `json:"whole,omitempty"`
 }
 
 // Place is the engine that a request was granted.
@@ -114,6 +117,9 @@
 	Broken bool          `json:"broken,omitempty"`
 	Begun  bool          `json:"begun,omitempty"`
 	Wrote  time.Duration `json:"wrote,omitempty"`
+	// Whole are the parts that stand for the whole request, Label names it, if the connection broke.
+	Whole []poison.Part `json:"whole,omitempty"`
+	Label string        `json:"label,omitempty"`
 }
 
 // RunningRequest is a running request, reported by an entry host to a new authority.
--- a/core/grant/limit.go
+++ b/core/grant/limit.go
@@ -44,10 +44,13 @@
 	since, deadline ident.Time
 }
 
-// permit is a permit that a request got.
+// permit is a permit that a request for a plain service got.
 type permit struct {
 	instance ident.Instance
 	at       ident.Time
+	// ask is the request, if it is suspected to crash endpoints, and until the time by which it has ended.
+	ask   Ask
+	until ident.Time
 }
 
 // permitMemory is how long a permit is remembered, so that a request that asks again gets the same one.
@@ -161,6 +164,19 @@
 	}
 }
 
+// endPermit ends the run of a suspected request, or takes a permit back that was not used.
+func (t *Authority) endPermit(end End, now ident.Time) {
+	p, known := t.permits[end.ID]
+	if !known || len(p.ask.Whole) == 0 || end.Outcome == Cancelled {
+		t.withdrawPermit(end.ID)
+		return
+	}
+	delete(t.permits, end.ID)
+	if end.Outcome == Served {
+		t.markWritten(p.ask, now)
+	}
+}
+
 // stepPermits gives permits to the most urgent requests, and rejects those whose turn would come too late.
 func (t *Authority) stepPermits(now ident.Time) {
 	if len(t.permitWaiters) == 0 {
@@ -175,6 +191,9 @@
 	})
 	turns := map[ident.Instance]int{} // requests ahead at each endpoint
 	for _, w := range list {
+		if t.holdSuspect(w, now) {
+			continue
+		}
 		best, wait, found := t.nextTurn(w.ask, turns, now)
 		switch {
 		case !found:
@@ -197,7 +216,7 @@
 	var shortest time.Duration
 	found := false
 	for _, i := range a.Permit {
-		if slices.Contains(a.Avoid, i.ID) {
+		if slices.Contains(a.Avoid, i.ID) || t.hasCrashed(i) {
 			continue
 		}
 		wait := t.limits.WaitFor(i, 1+turns[i], now)
@@ -210,9 +229,10 @@
 
 func (t *Authority) givePermit(w *permitWaiter, i ident.Instance, now ident.Time) {
 	delete(t.permitWaiters, w.ask.ID)
-	t.permits[w.ask.ID] = permit{instance: i, at: now}
+	t.permits[w.ask.ID] = permit{instance: i, at: now, ask: w.ask, until: now.Add(max(permitMemory, w.ask.Left))}
 	t.takeSend(i, PermitSend, now)
-	t.reply(w.ask, Reply{ID: w.ask.ID, Place: &Place{Instance: i}})
+	t.watch(w.ask.ID, w.ask.Whole)
+	t.reply(w.ask, Reply{ID: w.ask.ID, Place: &Place{Instance: i, Watch: len(w.ask.Whole) > 0}})
 	t.addNote("permit", w.ask, i.ID, "granted", fmt.Sprintf("waited=%dms sends=%d waiting=%d", now.Sub(w.since).Milliseconds(), w.ask.Sends, len(t.permitWaiters)))
 }
 
@@ -236,7 +256,7 @@
 // expirePermits forgets old permits.
 func (t *Authority) expirePermits(now ident.Time) {
 	for id, p := range t.permits {
-		if now.Sub(p.at) > permitMemory {
+		if now > p.until {
 			delete(t.permits, id)
 		}
 	}
--- a/core/grant/poison.go
+++ b/core/grant/poison.go
@@ -55,6 +55,8 @@
 type brokenRequest struct {
 	ask   Ask
 	begun bool // the engine had begun to answer
+	whole []poison.Part
+	label string
 }
 
 // poisonWatch is the part of an Authority that finds poison requests and keeps them from engines.
@@ -66,13 +68,17 @@
 	localSuspects map[poison.Part]ident.Time
 	// suspectRuns holds the granted request of each suspect, so that each runs one request at a time.
 	suspectRuns map[poison.Part]ID
-	timers      poison.Timers
+	// evidence counts the crashes under whole requests; the table holds those with several.
+	evidence *poison.Evidence
+	timers   poison.Timers
+	// crashedAt holds when endpoints were found to have crashed.
+	crashedAt map[ident.Instance]ident.Time
 }
 
 func newPoisonWatch() poisonWatch {
 	return poisonWatch{
 		table: poison.NewTable(), written: poison.NewWritten(), inquiries: map[ident.Instance]*inquiry{}, localSuspects: map[poison.Part]ident.Time{},
-		suspectRuns: map[poison.Part]ID{},
+		suspectRuns: map[poison.Part]ID{}, evidence: poison.NewEvidence(), crashedAt: map[ident.Instance]ident.Time{},
 	}
 }
 
@@ -105,9 +111,12 @@
 // markWritten records that the parts of a request are sound.
 func (t *Authority) markWritten(a Ask, now ident.Time) {
 	var cleared []poison.Part
+	t.evidence.Clear(a.Whole...)
 	for _, p := range SharedParts(a.Parts) {
 		t.written.Add(p, now)
 		delete(t.localSuspects, p)
+	}
+	for _, p := range append(SharedParts(a.Parts), a.Whole...) {
 		if r, known := t.table.Get(p); known && r.State != poison.Blocked {
 			cleared = append(cleared, p)
 		}
@@ -129,7 +138,7 @@
 	case written:
 		t.inquire(e, now)
 	default:
-		t.inquire(e, now, brokenRequest{ask: r.ask, begun: end.Begun})
+		t.inquire(e, now, brokenRequest{ask: r.ask, begun: end.Begun, whole: end.Whole, label: end.Label})
 	}
 }
 
@@ -159,6 +168,7 @@
 		q.closed = true
 	case Refused:
 		q.crashed = true
+		t.crashedAt[i] = now
 		if e := t.engines[i.ID]; e != nil && e.entry.Instance == i {
 			e.failures.recordUnreachable(now)
 		}
@@ -200,6 +210,7 @@
 	}
 	crash := poison.Crash{Instance: i}
 	for _, b := range q.requests {
+		t.countCrash(i, b, now)
 		if b.begun != begun || len(b.ask.Parts) == 0 {
 			continue
 		}
@@ -225,9 +236,18 @@
 
 // suspectsOf returns the suspected parts of a request, and whether one of its parts is blocked.
 func (t *Authority) suspectsOf(a Ask, now ident.Time) (suspects []poison.Part, blocked bool) {
-	if t.table.Len() == 0 && len(t.localSuspects) == 0 {
+	if t.table.Len() == 0 && len(t.localSuspects) == 0 && t.evidence.Len() == 0 {
 		return nil, false
 	}
+	for _, p := range a.Whole {
+		switch t.crashesUnder(p, now) {
+		case 0, 1: // as many as each request that runs on an endpoint that crashes
+		case 2:
+			suspects = append(suspects, p)
+		default:
+			return nil, true
+		}
+	}
 	for _, p := range SharedParts(a.Parts) {
 		r, known := t.table.Get(p)
 		at, local := t.localSuspects[p]
@@ -256,7 +276,7 @@
 		return false
 	case w.ask.Sends > 0:
 		t.rejectWaiter(w, Suspected, 0)
-	case t.suspectsBusy(w):
+	case t.suspectsBusy(w, now):
 		t.waitForEngine(w, now)
 	default:
 		return false
@@ -288,9 +308,9 @@
 }
 
 // suspectsBusy reports whether a request must wait for another one with a suspected part to end.
-func (t *Authority) suspectsBusy(w *waiter) bool {
+func (t *Authority) suspectsBusy(w *waiter, now ident.Time) bool {
 	for _, p := range w.suspects {
-		if _, running := t.placements[t.suspectRuns[p]]; running {
+		if t.isRunning(t.suspectRuns[p], now) {
 			return true
 		}
 	}
@@ -325,8 +345,10 @@
 
 // stepRecords lets blocked parts be tried again and forgets old suspicions.
 func (t *Authority) stepRecords(now ident.Time) {
+	t.evidence.Forget(now)
+	t.forgetCrashes(now)
 	for p, id := range t.suspectRuns {
-		if _, running := t.placements[id]; !running {
+		if !t.isRunning(id, now) {
 			delete(t.suspectRuns, p)
 		}
 	}
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -149,6 +149,13 @@
 	}
 }
 
+// MarkUnreachable records that an endpoint was found to have crashed.
+func (p *Picker) MarkUnreachable(e census.Entry, now ident.Time) {
+	s := p.statsOf(e)
+	s.unreachable, s.unreachableAt = true, now
+	s.usedAt = now
+}
+
 // recordOutcome updates the failure rate.
 func (s *endpointStats) recordOutcome(failed bool, now ident.Time) {
 	s.failRate *= decay(now.Sub(s.outcomeAt), failHalfLife) * (1 - outcomeWeight)
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -66,6 +66,11 @@
 	Requests []Part `json:"requests,omitempty"`
 	// Blocks counts how often the part was blocked.
 	Blocks int `json:"blocks,omitempty"`
+	// Label names the path and caller of a whole request.
+	Label string `json:"label,omitempty"`
+	// With are the shared parts of the prompt of a whole request, Instances the endpoints that crashed under it.
+	With      []Part           `json:"with,omitempty"`
+	Instances []ident.Instance `json:"instances,omitempty"`
 	// Since is the number of the change that added the record.
 	Since uint64 `json:"since"`
 }
@@ -79,13 +84,15 @@
 	Alone    int    `json:"alone"`
 	Blocks   int    `json:"blocks"`
 	Requests []Part `json:"requests"`
+	// Label names the path and caller of a whole request.
+	Label string `json:"label,omitempty"`
 }
 
 // ListRecords returns records in the form in which operators see them.
 func ListRecords(records []Record) []Listed {
 	list := []Listed{}
 	for _, r := range records {
-		list = append(list, Listed{Part: r.Part, State: r.State.String(), Crashes: r.Crashes, Alone: r.Alone, Blocks: r.Blocks, Requests: r.Requests})
+		list = append(list, Listed{Part: r.Part, State: r.State.String(), Crashes: r.Crashes, Alone: r.Alone, Blocks: r.Blocks, Requests: r.Requests, Label: r.Label})
 	}
 	return list
 }
@@ -96,6 +103,9 @@
 	Own Part `json:"own"`
 	// Parts are the other parts that were not written on lately.
 	Parts []Part `json:"parts"`
+	// Whole are the parts that stand for the whole request, Label names it to operators.
+	Whole []Part `json:"whole,omitempty"`
+	Label string `json:"label,omitempty"`
 }
 
 // Crash reports that an engine crashed.
@@ -113,12 +123,18 @@
 	Trial Part `json:"trial,omitempty"`
 	// Lift removes a part in any state; operators use it.
 	Lift Part `json:"lift,omitempty"`
+	// Repeated records crashes under one request.
+	Repeated *Repeated `json:"repeated,omitempty"`
+	// Key sets the key of the hashes that stand for requests, once.
+	Key []byte `json:"key,omitempty"`
 }
 
 // Table is the replicated table of suspected and blocked parts. It has no clock: equal commands lead to equal tables.
 type Table struct {
 	// Changes counts the commands that had an effect.
-	Changes   uint64
+	Changes uint64
+	// Key is the key of the hashes that stand for requests; it is the same on all hosts.
+	Key       []byte
 	records   map[Part]Record
 	instances []ident.Instance // the latest crashes, oldest first
 }
@@ -156,8 +172,13 @@
 			t.records[c.Trial] = r
 		}
 	case c.Lift != "":
-		_, changed = t.records[c.Lift]
-		delete(t.records, c.Lift)
+		changed = t.lift(c.Lift)
+	case c.Repeated != nil:
+		changed = t.applyRepeated(*c.Repeated)
+	case len(c.Key) > 0:
+		if changed = len(t.Key) == 0; changed {
+			t.Key = c.Key
+		}
 	default:
 		for _, p := range c.Clear {
 			if r, ok := t.records[p]; ok && r.State != Blocked {
@@ -237,17 +258,18 @@
 	Changes   uint64           `json:"changes,omitempty"`
 	Records   []Record         `json:"records,omitempty"`
 	Instances []ident.Instance `json:"instances,omitempty"`
+	Key       []byte           `json:"key,omitempty"`
 }
 
 // Snapshot returns the state of the table.
 func (t *Table) Snapshot() Snapshot {
-	return Snapshot{Changes: t.Changes, Records: t.List(), Instances: slices.Clone(t.instances)}
+	return Snapshot{Changes: t.Changes, Records: t.List(), Instances: slices.Clone(t.instances), Key: t.Key}
 }
 
 // Restore returns the table that a snapshot was taken from.
 func Restore(s Snapshot) *Table {
 	t := NewTable()
-	t.Changes, t.instances = s.Changes, slices.Clone(s.Instances)
+	t.Changes, t.instances, t.Key = s.Changes, slices.Clone(s.Instances), s.Key
 	for _, r := range s.Records {
 		t.records[r.Part] = r
 	}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -41,6 +41,8 @@
 	Prompt, Output ident.Tokens
 	// Parts are the sections of the prompt, by which the authority estimates what an engine has in its prefix cache.
 	Parts []grant.Part
+	// Caller is the identity of the caller.
+	Caller string
 	// LastEventID is the id of the last event that the caller received; the stream resumes after this event.
 	LastEventID string
 }
@@ -150,6 +152,7 @@
 	entryHosts     int             // number of ready entry hosts, from the last status
 	poison         *poison.Table   // the suspected and blocked parts of prompts
 	written        *poison.Written // the parts that engines wrote on lately for this host
+	evidence       *poison.Evidence
 	limits         *hostLimits
 	permitTimes    map[ident.Service]permitTimes
 	grantRequests  map[grant.ID]*grantRequest
@@ -163,7 +166,7 @@
 // New returns an entry host; Run starts it.
 func New(common logs.Common, meter *metric.Meter, c Config) *Front {
 	f := &Front{
-		Common: common, Config: c, Meter: meter, client: dial.New(), layoutLoaded: make(chan struct{}), census: census.NewFollower(), poison: poison.NewTable(), written: poison.NewWritten(), picker: pick.New(c.Domain),
+		Common: common, Config: c, Meter: meter, client: dial.New(), layoutLoaded: make(chan struct{}), census: census.NewFollower(), poison: poison.NewTable(), written: poison.NewWritten(), evidence: poison.NewEvidence(), picker: pick.New(c.Domain),
 		limits: newHostLimits(), permitTimes: map[ident.Service]permitTimes{}, newestVersions: map[book.AdapterRef]book.WeightsVersion{}, controlStatus: map[ident.HostID]link.Status{}, grantRequests: map[grant.ID]*grantRequest{},
 		lastServed: map[book.AdapterRef]servedPlace{}, retryBudgets: map[ident.Service]*grant.Budget{}, sendCounts: map[ident.Service]*grant.Budget{}, startedAt: clock.Boot(), entryHosts: 1,
 	}
@@ -206,6 +209,7 @@
 	f.picker.Forget(now.Add(-pickerRetention))
 	f.expireLastServed(now)
 	f.limits.forget(now)
+	f.evidence.Forget(now)
 	opened, reused := f.client.Counts()
 	f.Meter.Gauge("shallotgap_connections_opened", opened)
 	f.Meter.Gauge("shallotgap_connections_reused", reused)
--- a/io/front/grants.go
+++ b/io/front/grants.go
@@ -225,6 +225,7 @@
 	}
 	active.Written = f.written.Latest(reportedWritten, clock.Boot())
 	active.Limits = f.limits.known(clock.Boot())
+	active.Crashes = f.evidence.Crashes(clock.Boot())
 	f.mu.Unlock()
 	f.mesh.Send(to, link.Message{Live: &active})
 	for _, req := range waiting {
@@ -251,7 +252,8 @@
 	if known && (e.Instance != p.Instance || e.State != census.Ready) {
 		return grant.Reply{}, false
 	}
-	if _, suspected := f.stateOf(req.msg.Parts); suspected != "" {
+	_, suspected := f.stateOf(req.msg.Parts)
+	if state, _ := f.evidence.StateOf(f.poison, req.msg.Whole, false, clock.Boot()); suspected != "" || state != 0 {
 		return grant.Reply{}, false // only the authority keeps suspects apart
 	}
 	if wait := f.limits.takeShare(p.Instance, f.entryHosts, clock.Boot()); wait > 0 {
--- a/io/front/links.go
+++ b/io/front/links.go
@@ -54,6 +54,8 @@
 		f.handleNewestVersions(*m.Newest)
 	case m.Poison != nil:
 		f.handlePoison(from.Host, *m.Poison)
+	case m.Crashed != nil:
+		f.recordCrash(m.Crashed.Crash)
 	case m.Limits != nil:
 		f.handleLimits(from.Host, *m.Limits)
 	case m.Reply != nil:
--- a/io/front/permit.go
+++ b/io/front/permit.go
@@ -8,6 +8,7 @@
 	"shallotgap/core/census"
 	"shallotgap/core/grant"
 	"shallotgap/core/ident"
+	"shallotgap/core/poison"
 	"shallotgap/io/clock"
 )
 
@@ -36,11 +37,16 @@
 	// cause and retryAfter tell why no endpoint may be sent the request, if limits are the reason.
 	cause      grant.Cause
 	retryAfter time.Duration
+	// watched is the permit whose end the authority waits for; empty for none.
+	watched grant.ID
 }
 
 // choose picks an endpoint of the service that is not in avoid, and counts a request as running there until endSend is called. An
 // endpoint with a limit is chosen with a permit only. The request waits for one if there is no other endpoint.
 func (ex *exchange) choose(ctx context.Context, avoid []ident.EndpointID) choice {
+	if state, _ := ex.suspicion(); state != 0 {
+		return ex.chooseSuspect(ctx, avoid)
+	}
 	now := clock.Boot()
 	ex.mu.Lock()
 	list := ex.census.ByService(ex.service.Name)
@@ -71,7 +77,7 @@
 	case !ask:
 		return choice{endpoint: bestFree, found: true}
 	}
-	c := ex.choosePermitted(ctx, limited, avoid, !hasFree)
+	c := ex.choosePermitted(ctx, limited, avoid, !hasFree, nil)
 	if c.found || !hasFree {
 		return c
 	}
@@ -81,10 +87,11 @@
 	return choice{endpoint: bestFree, found: true}
 }
 
-// choosePermitted picks one of the endpoints with limits by a permit of the authority or, without a leader, by this host's share.
-func (ex *exchange) choosePermitted(ctx context.Context, limited []census.Entry, avoid []ident.EndpointID, wait bool) choice {
-	a := grant.Ask{Request: ex.call.ID, Service: ex.service.Name, Priority: ex.route.Priority, Sends: ex.sends, Avoid: avoid}
-	for _, e := range limited {
+// choosePermitted picks one of the endpoints by a permit of the authority or, without a leader, by this host's share of their limits. whole
+// is set for a suspected request.
+func (ex *exchange) choosePermitted(ctx context.Context, list []census.Entry, avoid []ident.EndpointID, wait bool, whole []poison.Part) choice {
+	a := grant.Ask{Request: ex.call.ID, Service: ex.service.Name, Priority: ex.route.Priority, Sends: ex.sends, Avoid: avoid, Whole: whole}
+	for _, e := range list {
 		if e.State == census.Ready {
 			a.Permit = append(a.Permit, e.Instance)
 		}
@@ -92,20 +99,29 @@
 	if wait {
 		a.Left = max(0, ex.timeLeft()/permitWaitDivisor)
 	}
+	if len(a.Permit) == 0 {
+		return choice{}
+	}
 	reply := ex.awaitPermit(ctx, a)
 	now := clock.Boot()
 	ex.mu.Lock()
-	times := permitTimes{askedAt: now}
-	if reply.Place == nil {
-		times.noneUntil = now.Add(reply.After)
+	if len(whole) == 0 {
+		times := permitTimes{askedAt: now}
+		if reply.Place == nil {
+			times.noneUntil = now.Add(reply.After)
+		}
+		ex.permitTimes[ex.service.Name] = times
 	}
-	ex.permitTimes[ex.service.Name] = times
 	defer ex.mu.Unlock()
 	if reply.Place != nil {
-		for _, e := range limited {
+		for _, e := range list {
 			if e.Instance == reply.Place.Instance {
 				ex.picker.Begin(e, now)
-				return choice{endpoint: e, found: true}
+				c := choice{endpoint: e, found: true}
+				if reply.Place.Watch {
+					c.watched = reply.ID
+				}
+				return c
 			}
 		}
 	}
@@ -143,6 +159,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := clock.Boot()
+	if len(a.Whole) > 0 {
+		return grant.Reply{Cause: grant.Suspected, After: noAuthorityRetryAfter}
+	}
 	shortest := time.Duration(0)
 	for _, i := range a.Permit {
 		wait := f.limits.takeShare(i, f.entryHosts, now)
--- a/io/front/plain.go
+++ b/io/front/plain.go
@@ -25,6 +25,9 @@
 func (ex *exchange) servePlain(ctx context.Context) {
 	var avoid []ident.EndpointID
 	for range max(1, ex.route.Attempts) + maxExtraSends {
+		if ex.rejectBlocked() {
+			return
+		}
 		if ex.sends > 0 && !ex.spendRetry() {
 			ex.fail("budget-spent", failedRetryAfter)
 			return
@@ -45,7 +48,9 @@
 		}
 		e := c.endpoint
 		avoid = append(avoid, e.Instance.ID)
-		switch result := ex.sendPlain(ctx, e); {
+		result := ex.sendPlain(ctx, e)
+		ex.endPermitted(c.watched, result)
+		switch {
 		case result == sendDone:
 			return
 		case ctx.Err() != nil:
@@ -56,6 +61,10 @@
 			return
 		}
 	}
+	if ex.rejections == 0 {
+		ex.fail("endpoints-unreachable", failedRetryAfter)
+		return
+	}
 	ex.fail("endpoints-full", failedRetryAfter)
 }
 
@@ -131,6 +140,9 @@
 		ex.mayHaveRun = ex.mayHaveRun || !v.NotRun
 		ex.endSend(e, pick.Bad, v.Load)
 		ex.logDecision("send", e.Instance.ID, "broken", "status="+strconv.Itoa(resp.StatusCode)+" stray="+strconv.FormatBool(v.Mismatched))
+		if err != nil {
+			ex.checkCrash(ctx, e.Instance, e.Address)
+		}
 		return sendBroken
 	case err != nil:
 		resp.Abort()
@@ -138,6 +150,7 @@
 		ex.endSend(e, pick.Ignored, v.Load)
 		return sendBroken
 	case v.NotRun:
+		ex.rejections++
 		ex.endSend(e, pick.Full, v.Load)
 		ex.logDecision("send", e.Instance.ID, "not-run", "status="+strconv.Itoa(resp.StatusCode))
 		return sendNotRun
@@ -152,6 +165,7 @@
 	} else {
 		ex.endSend(e, pick.Good, v.Load)
 	}
+	ex.recordSound()
 	ex.forwardResponse(resp, body)
 	ex.Meter.ObserveDuration("shallotgap_plain_seconds", clock.Boot().Sub(sentAt))
 	return sendDone
@@ -180,6 +194,7 @@
 		ex.sends++
 		ex.mayHaveRun = true
 		ex.endSend(e, pick.Bad, nil)
+		ex.checkCrash(ctx, e.Instance, e.Address)
 		return sendBroken
 	}
 	ex.endSend(e, pick.Unreachable, nil)
--- a/io/front/poison.go
+++ b/io/front/poison.go
@@ -55,6 +55,9 @@
 	ex.mu.Lock()
 	state, part := ex.stateOf(ex.call.Parts)
 	ex.mu.Unlock()
+	if state != poison.Blocked {
+		state, part = ex.suspicion()
+	}
 	if state != poison.Blocked {
 		return false
 	}
@@ -70,9 +73,20 @@
 	wrote time.Duration
 }
 
-// releaseBroken ends a grant whose connection to the engine broke.
-func (f *Front) releaseBroken(req *grantRequest, first time.Duration, b breakdown) {
-	f.releaseWith(req, grant.End{Outcome: grant.Failed, First: first, Broken: true, Begun: b.begun, Wrote: b.wrote})
+// releaseBroken ends a grant whose connection to the engine broke. Without a leader, which would ask the engine, this host finds out by
+// itself whether the engine has crashed.
+func (ex *exchange) releaseBroken(ctx context.Context, req *grantRequest, first time.Duration, b breakdown) {
+	end := grant.End{Outcome: grant.Failed, First: first, Broken: true, Begun: b.begun, Wrote: b.wrote}
+	ex.mu.Lock()
+	led := ex.leader != ""
+	ex.mu.Unlock()
+	if b.wrote < grant.WrittenAfter {
+		end.Whole, end.Label = ex.wholeParts(), ex.identity().Label()
+		if !led {
+			ex.checkCrash(ctx, req.place.Instance, req.place.Address)
+		}
+	}
+	ex.releaseWith(req, end)
 }
 
 // recordWritten remembers the parts of a prompt that an engine has written on.
--- a/io/front/serve.go
+++ b/io/front/serve.go
@@ -12,6 +12,7 @@
 
 	"shallotgap/core/ident"
 	"shallotgap/core/layout"
+	"shallotgap/core/poison"
 	"shallotgap/io/clock"
 	"shallotgap/io/dial"
 )
@@ -36,6 +37,10 @@
 	mayHaveRun bool
 	// committed is true once a part of an endpoint's response was forwarded, so no error response can be sent.
 	committed bool
+	// whole are the parts that stand for the whole request, once they are needed; see wholeParts.
+	whole []poison.Part
+	// rejections is the number of sends that endpoints rejected without running the request.
+	rejections int
 }
 
 // ServeHTTP serves a caller's request.
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -43,6 +43,9 @@
 		a.Left = ex.timeLeft()
 		a.Silence = events.silenceLeft(clock.Boot())
 		a.Sends = ex.sends
+		if ex.crashesKnown() {
+			a.Whole = ex.wholeParts()
+		}
 		req, reply := ex.awaitGrant(ctx, a)
 		if reply.Place == nil {
 			ex.fail(string(reply.Cause), reply.After)
@@ -129,6 +132,7 @@
 	switch {
 	case err == nil:
 		ex.recordWritten(ex.call.Parts)
+		ex.recordSound()
 		ex.release(req, grant.Served, first, events.maxGap)
 		ex.Meter.ObserveDuration("shallotgap_first_event_seconds", events.firstAt.Sub(ex.receivedAt))
 		ex.logDecision("end", p.Instance.ID, "served", fmt.Sprintf("first=%dms gap=%dms prompt=%d", events.firstAt.Sub(ex.receivedAt).Milliseconds(), events.maxGap.Milliseconds(), ex.call.Prompt))
@@ -143,7 +147,7 @@
 	if sendCtx.Err() != nil {
 		ex.release(req, grant.Failed, first, 0) // no event came in time, which this host ended itself
 	} else {
-		ex.releaseBroken(req, first, breakdown{begun: true, wrote: events.wrote()})
+		ex.releaseBroken(ctx, req, first, breakdown{begun: true, wrote: events.wrote()})
 	}
 	return sendBroken
 }
@@ -195,7 +199,7 @@
 		if errors.Is(err, errNoEvent) {
 			ex.release(req, grant.Failed, 0, 0)
 		} else {
-			ex.releaseBroken(req, 0, breakdown{})
+			ex.releaseBroken(ctx, req, 0, breakdown{})
 		}
 		return sendBroken
 	}
--- a/io/link/message.go
+++ b/io/link/message.go
@@ -47,6 +47,7 @@
 	Change          *layout.Change          `json:"change,omitempty"`
 	Newest          *Newest                 `json:"newest,omitempty"`
 	Poison          *poison.Snapshot        `json:"poison,omitempty"`
+	Crashed         *CrashReport            `json:"crashed,omitempty"`
 	LimitSeen       *limit.Seen             `json:"limit-seen,omitempty"`
 	Limits          *Limits                 `json:"limits,omitempty"`
 	Call            *Call                   `json:"call,omitempty"`
@@ -91,6 +92,8 @@
 	Written []poison.Part `json:"written,omitempty"`
 	// Limits are the limits of endpoints that this entry host knows.
 	Limits []limit.Seen `json:"limits,omitempty"`
+	// Crashes are the crashes of endpoints that this entry host knows of, and the requests under which they crashed.
+	Crashes []poison.Crash `json:"crashes,omitempty"`
 	// SendCounts holds, for each service, the first sends to engines and the retries within the window of the retry budget.
 	SendCounts map[ident.Service]grant.Sends `json:"sent,omitempty"`
 }
@@ -119,6 +122,14 @@
 	List    []book.Newest `json:"list"`
 }
 
+// CrashReport tells that an endpoint crashed under requests of the sender. Control hosts pass it on to all entry hosts, also while no
+// host leads.
+type CrashReport struct {
+	poison.Crash
+	// Relayed is true for a report that a control host passed on.
+	Relayed bool `json:"relayed,omitempty"`
+}
+
 // Limits lists the limits of endpoints.
 type Limits struct {
 	limit.Snapshot
--- a/io/voter/lead.go
+++ b/io/voter/lead.go
@@ -58,6 +58,7 @@
 	}
 	v.leadership.authority.SetPoison(v.book.Poison)
 	v.leadership.authority.SetLimits(v.book.Limits, now)
+	v.proposePoisonKey()
 	v.leadership.setLayout(v.book.Layout, v.census.List())
 	for _, n := range v.book.List() {
 		v.leadership.authority.SetNewest(n)
@@ -93,6 +94,9 @@
 		v.leadership.authority.Withdraw(m.Withdraw)
 	case m.Live != nil && m.Live.Term == v.leadership.term:
 		v.leadership.authority.AddWritten(m.Live.Written, now)
+		for _, c := range m.Live.Crashes {
+			v.leadership.authority.ReportCrash(c, from.Host, now)
+		}
 		for _, s := range m.Live.Limits {
 			v.leadership.authority.ObserveLimit(s, now)
 		}
--- a/io/voter/poison.go
+++ b/io/voter/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"syscall"
 
@@ -10,6 +11,7 @@
 	"shallotgap/core/poison"
 	"shallotgap/core/wire"
 	"shallotgap/io/clock"
+	"shallotgap/io/link"
 )
 
 // PoisonParts returns the suspected and blocked parts.
@@ -55,6 +57,31 @@
 	}
 }
 
+// poisonKeyBytes is the length of the key of the hashes that stand for requests.
+const poisonKeyBytes = 16
+
+// proposePoisonKey sets the key of the hashes that stand for requests, if there is none yet.
+func (v *Voter) proposePoisonKey() {
+	if len(v.book.Poison.Key) > 0 {
+		return
+	}
+	key := make([]byte, poisonKeyBytes)
+	_, _ = rand.Read(key) // never returns an error
+	v.proposeCommand("poison", book.Command{Poison: &poison.Command{Key: key}})
+}
+
+// relayCrash passes a report of a crash on to all entry hosts, and to the authority if this host leads.
+func (v *Voter) relayCrash(from link.Hello, c link.CrashReport) {
+	if c.Relayed {
+		return
+	}
+	relayed := link.CrashReport{Crash: c.Crash, Relayed: true}
+	v.mesh.SendAll(link.Message{Crashed: &relayed}, func(h link.Hello) bool { return !h.Control && h.Host != from.Host })
+	if v.leadership != nil {
+		v.leadership.authority.ReportCrash(c.Crash, from.Host, clock.Boot())
+	}
+}
+
 // logPoison logs what a command did to the parts that it names.
 func (v *Voter) logPoison(c poison.Command) {
 	parts := c.Clear
@@ -64,6 +91,9 @@
 			parts = append(parts, s.Parts...)
 		}
 	}
+	if c.Repeated != nil {
+		parts = append(parts, c.Repeated.Part)
+	}
 	for _, p := range []poison.Part{c.Trial, c.Lift} {
 		if p != "" {
 			parts = append(parts, p)
@@ -76,7 +106,7 @@
 			log.WithField("outcome", "sound").Info("part")
 			continue
 		}
-		log.WithField("outcome", r.State.String()).WithField("crashes", r.Crashes).WithField("alone", r.Alone).WithField("blocks", r.Blocks).Info("part")
+		log.WithField("outcome", r.State.String()).WithField("crashes", r.Crashes).WithField("alone", r.Alone).WithField("blocks", r.Blocks).WithField("label", r.Label).Info("part")
 	}
 	blocked := int64(0)
 	for _, r := range v.book.Poison.List() {
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -275,6 +275,8 @@
 		v.observeShort(m.ShortHeartbeats)
 	case m.Fetch != nil:
 		v.serveFetch(from.Host, *m.Fetch)
+	case m.Crashed != nil:
+		v.relayCrash(from, *m.Crashed)
 	case m.Call != nil:
 		v.serveCall(from.Host, *m.Call)
 	case m.EndpointCall != nil:
