--- a/core/grant/limit_test.go
+++ b/core/grant/limit_test.go
@@ -10,6 +10,7 @@
 	"shallotgap/core/grant"
 	"shallotgap/core/ident"
 	"shallotgap/core/limit"
+	"shallotgap/fakes/stand"
 )
 
 // limitedSim is a simulation in which engines have limits; sent holds the times of all sends to each of them, of every kind.
@@ -49,14 +50,8 @@
 	s.t.Helper()
 	const span = 4 * time.Second
 	for _, r := range s.table.List() {
-		list := s.sent[r.Instance.ID]
-		first := 0
-		for i, at := range list {
-			for at.Sub(list[first]) >= span {
-				first++
-			}
-			assert.Assert(s.t, float64(i-first+1) <= float64(r.Rate)*span.Seconds()+2, "%s got %d sends in 4 s", r.Instance.ID, i-first+1)
-		}
+		most := stand.MostInWindow(s.sent[r.Instance.ID], span)
+		assert.Assert(s.t, float64(most) <= float64(r.Rate)*span.Seconds()+2, "%s got %d sends in 4 s", r.Instance.ID, most)
 	}
 }
 
--- a/core/limit/pacer_test.go
+++ b/core/limit/pacer_test.go
@@ -10,6 +10,7 @@
 
 	"shallotgap/core/ident"
 	"shallotgap/core/limit"
+	"shallotgap/fakes/stand"
 )
 
 func ExamplePacer() {
@@ -26,18 +27,6 @@
 	// Output: 7
 }
 
-// mostInWindow returns the largest number of times within any span of the given length.
-func mostInWindow(list []ident.Time, span time.Duration) int {
-	most, first := 0, 0
-	for i, at := range list {
-		for at.Sub(list[first]) >= span {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 const window = 4 * time.Second
 
 // Demand comes and goes, and the endpoint names other limits. No window may hold more than the highest limit within it, plus two.
@@ -57,7 +46,7 @@
 				sent = append(sent, now)
 			}
 		}
-		if most := mostInWindow(sent, window); float64(most) > rate*window.Seconds()+2 {
+		if most := stand.MostInWindow(sent, window); float64(most) > rate*window.Seconds()+2 {
 			t.Fatalf("%d sends within %v at a rate of %v", most, window, rate)
 		}
 	})
@@ -118,7 +107,7 @@
 						}
 					}
 				}
-				assert.Assert(t, float64(mostInWindow(sent, window)) <= rate*window.Seconds()+2)
+				assert.Assert(t, float64(stand.MostInWindow(sent, window)) <= rate*window.Seconds()+2)
 				assert.Assert(t, float64(len(sent)) >= 0.9*rate*span.Seconds()-2, "sent %d", len(sent))
 			})
 		}
--- a/core/limit/pool_test.go
+++ b/core/limit/pool_test.go
@@ -11,6 +11,7 @@
 
 	"shallotgap/core/ident"
 	"shallotgap/core/limit"
+	"shallotgap/fakes/stand"
 )
 
 var engine = ident.Instance{ID: "e1", Born: 1}
@@ -162,7 +163,7 @@
 				}
 			}
 			slices.Sort(f.sent)
-			most := mostInWindow(f.sent, window)
+			most := stand.MostInWindow(f.sent, window)
 			assert.Assert(t, float64(most) <= rate*window.Seconds()+2, "%d sends in 4 s", most)
 			assert.Assert(t, float64(len(f.sent)) >= 0.8*rate*(5*time.Minute).Seconds(), "only %d sends, led for %v", len(f.sent), led)
 		})
--- a/scene/limit_test.go
+++ b/scene/limit_test.go
@@ -81,24 +81,12 @@
 func (s *limitScene) checkWindows(t *testing.T, since time.Time) int {
 	t.Helper()
 	list := s.limited.Arrivals(since)
-	most := mostInWindow(list, limitWindow)
+	most := stand.MostInWindow(list, limitWindow)
 	t.Logf("%d requests, most in 4 s: %d; served %d, rejected %d, other %d", len(list), most, s.served.Load(), s.rejected.Load(), s.other.Load())
 	assert.Check(t, float64(most) <= limitRate*limitWindow.Seconds()+2)
 	return len(list)
 }
 
-// mostInWindow returns the largest number of times within any span of the given length.
-func mostInWindow(list []time.Time, span time.Duration) int {
-	most, first := 0, 0
-	for i, at := range list {
-		for at.Sub(list[first]) >= span {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 const (
 	servicePath, serviceBody = "/services/payments/status", `{"id":1}`
 	modelPath, modelBody     = "/v1/completions", `{"model":"feed-advice@v1","max_tokens":2,"prompt":"cow"}`
