--- a/io/cmds/poison.go
+++ b/io/cmds/poison.go
@@ -34,7 +34,7 @@
 	w := tabwriter.NewWriter(env.Out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(w, texts.PoisonHeader)
 	for _, p := range list {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\n", p.Part, p.State, p.Crashes, p.Alone, p.Blocks)
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%s\n", p.Part, p.State, p.Crashes, p.Alone, p.Blocks, p.Label)
 	}
 	return w.Flush()
 }
--- a/io/texts/cli.go
+++ b/io/texts/cli.go
@@ -27,7 +27,7 @@
 	ExplainLogsHeader = "AFTER\tHOST\tWHAT\tSTEP\tOUTCOME\tENDPOINT\tPEER\tINPUTS"
 	ExplainLogsGap    = "gap: %s\n"
 	LimitsHeader      = "ENDPOINT\tSERVICE\tREQUESTS/S"
-	PoisonHeader      = "PART\tSTATE\tCRASHES\tALONE\tBLOCKS"
+	PoisonHeader      = "PART\tSTATE\tCRASHES\tALONE\tBLOCKS\tREQUEST"
 	PoisonLifted      = "part %s lifted: requests with it run again\n"
 	NothingMeasured   = "no request was measured yet\n"
 	SettingsOK        = "%s: ok\n"
