Let one control host pass each crash on

Cause: every control host passed each report on to every entry host, five times the messages on the grown deployments (reckoned). Change: the leader does; the others only while they know none.

--- a/io/voter/poison.go
+++ b/io/voter/poison.go
@@ -70,9 +70,10 @@
 	v.proposeCommand("poison", book.Command{Poison: &poison.Command{Key: key}})
 }
 
-// relayCrash passes a report of a crash on to all entry hosts, and to the authority if this host leads.
+// relayCrash passes a report of a crash on to all entry hosts, and to the authority if this host leads. While another host leads, that one
+// passes it on.
 func (v *Voter) relayCrash(from link.Hello, c link.CrashReport) {
-	if c.Relayed {
+	if leader, _ := v.node.Leader(); c.Relayed || (leader != "" && leader != v.Self) {
 		return
 	}
 	relayed := link.CrashReport{Crash: c.Crash, Relayed: true}
