--- a/io/voter/crash_test.go
+++ b/io/voter/crash_test.go
@@ -17,8 +17,8 @@
 	sent  map[ident.HostID][]link.Message
 }
 
-func (*recordingNetwork) Run(context.Context) error              { return nil }
-func (*recordingNetwork) Target(ident.HostID)                    {}
+func (*recordingNetwork) Run(context.Context) error            { return nil }
+func (*recordingNetwork) Target(ident.HostID)                  {}
 func (*recordingNetwork) Send(ident.HostID, link.Message) bool { return true }
 
 func (n *recordingNetwork) SendAll(m link.Message, match func(link.Hello) bool) {
