--- a/core/grant/limit.go
+++ b/core/grant/limit.go
@@ -47,10 +47,13 @@
 // permit is a permit that a request for a plain service got.
 type permit struct {
 	instance ident.Instance
-	at       ident.Time
-	// ask is the request, if it is suspected to crash endpoints, and until the time by which it has ended.
-	ask   Ask
-	until ident.Time
+	ask      Ask
+	until    ident.Time // when the permit is forgotten, and a suspected request has ended
+}
+
+// reply returns the reply that carries the permit. The end of a suspected request is watched.
+func (p permit) reply() Reply {
+	return Reply{ID: p.ask.ID, Place: &Place{Instance: p.instance, Watch: len(p.ask.Whole) > 0}}
 }
 
 // permitMemory is how long a permit is remembered, so that a request that asks again gets the same one.
@@ -147,7 +150,7 @@
 // askPermit adds a request for a plain service to those that wait for a permit.
 func (t *Authority) askPermit(a Ask, now ident.Time) {
 	if p, known := t.permits[a.ID]; known {
-		t.reply(a, Reply{ID: a.ID, Place: &Place{Instance: p.instance}})
+		t.reply(a, p.reply())
 		return
 	}
 	if t.permitWaiters[a.ID] == nil {
@@ -229,10 +232,10 @@
 
 func (t *Authority) givePermit(w *permitWaiter, i ident.Instance, now ident.Time) {
 	delete(t.permitWaiters, w.ask.ID)
-	t.permits[w.ask.ID] = permit{instance: i, at: now, ask: w.ask, until: now.Add(max(permitMemory, w.ask.Left))}
+	t.permits[w.ask.ID] = permit{instance: i, ask: w.ask, until: now.Add(max(permitMemory, w.ask.Left))}
 	t.takeSend(i, PermitSend, now)
 	t.watch(w.ask.ID, w.ask.Whole)
-	t.reply(w.ask, Reply{ID: w.ask.ID, Place: &Place{Instance: i, Watch: len(w.ask.Whole) > 0}})
+	t.reply(w.ask, t.permits[w.ask.ID].reply())
 	t.addNote("permit", w.ask, i.ID, "granted", fmt.Sprintf("waited=%dms sends=%d waiting=%d", now.Sub(w.since).Milliseconds(), w.ask.Sends, len(t.permitWaiters)))
 }
 
--- a/core/poison/request.go
+++ b/core/poison/request.go
@@ -40,16 +40,23 @@
 // Parts returns the parts that stand for a request: with its caller, and whoever sends it. They are keyed hashes, so that neither
 // contents nor callers can be guessed from a list of them.
 func (i Identity) Parts(key []byte) []Part {
-	return []Part{i.part(key, i.Caller), i.part(key, "")}
+	content := keyedHash(key, []byte(i.Method), []byte(i.Target), []byte(i.Prompt), i.Body)
+	return []Part{requestPart(key, content, i.Caller), requestPart(key, content, "")}
 }
 
-func (i Identity) part(key []byte, caller string) Part {
+// requestPart returns the part that stands for a content that a caller sends; an empty caller is any caller.
+func requestPart(key, content []byte, caller string) Part {
+	return Part(requestPrefix + hex.EncodeToString(keyedHash(key, content, []byte(caller))[:8]))
+}
+
+// keyedHash returns a hash of fields that depends on where each field ends.
+func keyedHash(key []byte, fields ...[]byte) []byte {
 	h := hmac.New(sha256.New, key)
-	for _, field := range [][]byte{[]byte(i.Method), []byte(i.Target), []byte(caller), []byte(i.Prompt), i.Body} {
+	for _, field := range fields {
 		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(field)))) // a hash never returns an error
 		_, _ = h.Write(field)
 	}
-	return Part(requestPrefix + hex.EncodeToString(h.Sum(nil)[:8]))
+	return h.Sum(nil)
 }
 
 // Label names the request to operators, by path and caller.
--- a/core/poison/request_test.go
+++ b/core/poison/request_test.go
@@ -38,7 +38,7 @@
 		"another body":    {change: func(i *poison.Identity) { i.Body = []byte("bodY") }, key: "key"},
 		"another prompt":  {change: func(i *poison.Identity) { i.Prompt = "x" }, key: "key"},
 		"another key":     {change: func(*poison.Identity) {}, key: "other"},
-		"shifted borders": {change: func(i *poison.Identity) { i.Target, i.Caller = "a/bc", "" }, key: "key"},
+		"shifted borders": {change: func(i *poison.Identity) { i.Target, i.Method = "OST a/b", "P" }, key: "key"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
