--- a/core/world/endpointlimit.go
+++ b/core/world/endpointlimit.go
@@ -22,8 +22,12 @@
 	})}
 }
 
-// limitWaitShare is the part of its time that a request may wait for its turn under a limit; the rest is left for running it.
-const limitWaitShare = 0.6
+const (
+	// limitWaitShare is the part of its time that a request may wait for its turn under a limit; the rest is left for running it.
+	limitWaitShare = 0.6
+	// limitWaitSlack is how much later than expected on arrival the turn of a queued request may come, as other sends come between.
+	limitWaitSlack = 100 * time.Millisecond
+)
 
 // longestLimitWait returns how long a request may wait for its turn under a limit.
 func longestLimitWait(item *place.Item) time.Duration {
@@ -90,7 +94,8 @@
 	ahead := 0
 	for _, item := range site.InOrder() {
 		wait := w.limits.WaitFor(site.Identity(), 1+ahead, w.now)
-		if item.Urgency > work.Bulk && !item.Claiming && w.now.Add(wait) > item.Arrived.Add(longestLimitWait(item)) {
+		latest := item.Arrived.Add(longestLimitWait(item) + limitWaitSlack)
+		if wait > 0 && item.Urgency > work.Bulk && !item.Claiming && w.now.Add(wait) > latest {
 			w.rejectQueued(item, *limitRefusal(site, wait))
 			continue
 		}
--- a/scene/limit_test.go
+++ b/scene/limit_test.go
@@ -26,6 +26,7 @@
 // limitScene has an endpoint with a limit, and callers that want far more.
 type limitScene struct {
 	*fleet.Fleet
+	t                             *testing.T
 	path, body                    string
 	limited                       *stand.FaultInjector
 	served, rejected, other, slow atomic.Int64
@@ -34,7 +35,7 @@
 // newLimitScene starts a fleet that serves, with an engine and a plain service.
 func newLimitScene(t *testing.T, path, body string) *limitScene {
 	t.Helper()
-	s := &limitScene{Fleet: newFleet(t, 1), path: path, body: body}
+	s := &limitScene{Fleet: newFleet(t, 1), t: t, path: path, body: body}
 	putRow(t, s.Fleet, s.Hosts[0], "feed-advice@v1")
 	for _, h := range s.Hosts {
 		assert.Assert(t, awaitServed(func() bool { return s.serves(h) }), "%s", h.Name)
@@ -67,6 +68,7 @@
 				s.rejected.Add(1)
 			default:
 				s.other.Add(1)
+				s.t.Logf("after %v: status %d, %s %v", time.Since(start).Round(time.Millisecond), a.Status, a.Body, a.Err)
 			}
 			if time.Since(start) > 1800*time.Millisecond {
 				s.slow.Add(1)
