--- a/core/grant/crash_test.go
+++ b/core/grant/crash_test.go
@@ -46,7 +46,8 @@
 }
 
 func (p *crashPlay) advance(span time.Duration) {
-	for end := p.now.Add(span); p.now < end; p.now = p.now.Add(5 * time.Millisecond) {
+	step := max(5*time.Millisecond, span/100)
+	for end := p.now.Add(span); p.now < end; p.now = p.now.Add(step) {
 		e := p.auth.Step(p.now)
 		for _, r := range e.Replies {
 			p.replies[r.Reply.ID] = r.Reply
@@ -133,3 +134,34 @@
 	r, _ := p.ask("x", 200*time.Millisecond)
 	assert.Assert(t, r.Place != nil)
 }
+
+// A crashed endpoint says nothing any more and stays listed as ready; both sides of the times after which it counts as alive again.
+func TestCrashedEndpointIsForgotten(t *testing.T) {
+	cases := map[string]struct {
+		wait      time.Duration
+		heartbeat time.Duration // after the crash; 0 for none
+		alive     bool
+	}{
+		"soon after":                     {wait: 55 * time.Second},
+		"long after":                     {wait: 61 * time.Second, alive: true},
+		"a heartbeat from before, late":  {wait: 10 * time.Second, heartbeat: 4 * time.Second},
+		"a heartbeat: it did not crash":  {wait: 10 * time.Second, heartbeat: 6 * time.Second, alive: true},
+		"a heartbeat at the very moment": {wait: 10 * time.Second, heartbeat: 5 * time.Second},
+		"a heartbeat a moment later":     {wait: 10 * time.Second, heartbeat: 5*time.Second + time.Millisecond, alive: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := newCrashPlay(t, 2)
+			crashedAt := p.now
+			p.crash(p.endpoints[0])
+			if c.heartbeat > 0 {
+				p.advance(c.heartbeat)
+				p.auth.ObserveHeartbeat(p.endpoints[0], crashedAt.Add(c.heartbeat))
+			}
+			p.advance(c.wait - c.heartbeat)
+			r, answered := p.ask("x", 200*time.Millisecond)
+			assert.Assert(t, answered)
+			assert.Equal(t, r.Place != nil, c.alive)
+		})
+	}
+}
