Test that inquiries and resumed streams count against limits

Change: broken streams, each with an inquiry and a request that goes on at the other engine, before 20 requests a second for 20 s.

--- a/core/grant/limit_test.go
+++ b/core/grant/limit_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"shallotgap/core/book"
 	"shallotgap/core/grant"
 	"shallotgap/core/ident"
 	"shallotgap/core/limit"
@@ -233,3 +234,28 @@
 		})
 	}
 }
+
+// A stream that breaks costs an inquiry at its engine, and a stream that goes on elsewhere is a send there. Both count against the limits:
+// the next request to each engine waits for them.
+func TestInquiriesAndResumedStreamsCount(t *testing.T) {
+	s := newLimitedSim(t, 2, 1, 1)
+	s.advance(5 * time.Second)
+	start := s.now
+	for range 3 {
+		s.askWith(grant.Ask{Prompt: 100, Parts: []grant.Part{{ID: "unknown"}, {ID: "own"}}, Ref: book.AdapterRef{Model: "base"}})
+		s.advance(10 * time.Millisecond)
+		for id, r := range s.running {
+			delete(s.running, id)
+			s.auth.End(grant.End{ID: id, Outcome: grant.Failed, Broken: true}, s.now)
+			s.askWith(grant.Ask{Prompt: 100, Ref: book.AdapterRef{Model: "base"}, Sends: 1, Avoid: []ident.EndpointID{r.Instance.ID}})
+		}
+		s.advance(10 * time.Millisecond)
+	}
+	s.traffic(20, 20*time.Second, func() string { return "" })
+	t.Log(s.kinds, len(s.sent["e0"]), len(s.sent["e1"]))
+	assert.Assert(t, s.kinds[grant.ProbeSend] > 0 && s.kinds[grant.RetrySend] > 0, "%v", s.kinds)
+	s.checkWindows()
+	for _, id := range []ident.EndpointID{"e0", "e1"} {
+		assert.Check(t, float64(len(s.sent[id])) <= s.now.Sub(start).Seconds()+3, "%s got %d sends", id, len(s.sent[id]))
+	}
+}
