Link control hosts to the members of their own log after a start

What callers saw: after a loss of two of five disks and of all power, no host answered a read of the configuration, ever. Cause: a control host dialled its seeds only and learned of the others from hosts that linked to it. The addresses of the members in its own log were not dialled, and a host with an empty disk told nobody of the control hosts linked to it. Where the seeds of the survivors were hosts that had lost their disks, or were replaced, the survivors never linked. Change: a control host links to the members of its log, at its start and at each change, and a status names the linked control hosts beside the members. Both are evidence that any start has; no time-out or special case.

--- a/io/voter/log.go
+++ b/io/voter/log.go
@@ -24,6 +24,7 @@
 		if r.Empty() {
 			return
 		}
+		v.linkToMembers()
 		for _, m := range r.Immediate {
 			v.sendQuorum(m)
 		}
--- a/io/voter/status.go
+++ b/io/voter/status.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"shallotgap/core/census"
@@ -30,16 +32,17 @@
 	return s
 }
 
-// controlHosts returns this host and the other members of the log.
+// controlHosts returns this host, the other members of the log and the linked control hosts. A host with an empty disk knows only the
+// latter, and may be the only one that other hosts have in common.
 func (v *Voter) controlHosts() []ident.HostID {
 	list := []ident.HostID{v.Self}
 	members, _ := v.node.Members()
 	for _, m := range members {
-		if m.Host != v.Self {
-			list = append(list, m.Host)
-		}
+		list = append(list, m.Host)
 	}
-	return list
+	list = slices.AppendSeq(list, maps.Keys(v.linkedControlHosts))
+	slices.Sort(list)
+	return slices.Compact(list)
 }
 
 func (v *Voter) countReadyEntryHosts(now ident.Time) int {
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -92,6 +92,8 @@
 	book               *book.Book
 	census             *census.Census
 	entryHosts         map[ident.HostID]entryHost
+	linkedControlHosts map[ident.HostID]struct{}
+	membersIndex       ident.Index // log index of the membership whose hosts are linked to
 	leaderCalls        leaderCalls
 	leadership         *leadership
 	applied            ident.Index
@@ -133,7 +135,7 @@
 	v := &Voter{
 		Common: common, Config: c, Meter: meter, store: store,
 		inbox: make(chan func(), inboxCapacity), disk: disk.NewQueue[diskJob](), ended: make(chan struct{}),
-		book: state, census: census.New(census.DefaultRetention), entryHosts: map[ident.HostID]entryHost{},
+		book: state, census: census.New(census.DefaultRetention), entryHosts: map[ident.HostID]entryHost{}, linkedControlHosts: map[ident.HostID]struct{}{},
 		leaderCalls: leaderCalls{proposed: map[ident.Index][]proposal{}},
 		applied:     stored.Snapshot.Index, startedAt: clock.Boot(),
 	}
@@ -148,6 +150,7 @@
 	for _, h := range c.Seeds {
 		v.mesh.Target(h)
 	}
+	v.linkToMembers()
 	return v, nil
 }
 
@@ -293,8 +296,8 @@
 	v.post(func() {
 		if peer.Control {
 			v.node.Domains[peer.Host] = peer.Domain
-			v.mesh.Target(peer.Host)
-			v.addContact(peer.Host)
+			v.linkedControlHosts[peer.Host] = struct{}{}
+			v.addControlHosts([]ident.HostID{peer.Host})
 			v.hasLegacyPeers = v.hasLegacyPeers || !peer.ShortHeartbeats
 		} else if peer.Address != "" {
 			v.dropContact(peer.Address)
@@ -310,10 +313,26 @@
 	})
 }
 
-// LinkDown removes a disconnected entry host. Calls that were forwarded to the host are sent again.
+// LinkDown removes a disconnected host. Calls that were forwarded to the host are sent again.
 func (v *Voter) LinkDown(peer link.Hello) {
 	v.LinkLost(peer.Host)
-	v.post(func() { delete(v.entryHosts, peer.Host) })
+	v.post(func() {
+		delete(v.entryHosts, peer.Host)
+		delete(v.linkedControlHosts, peer.Host)
+	})
+}
+
+// linkToMembers links to the hosts of the latest membership in the log. After a loss of power of all hosts, the seeds may be hosts
+// that lost their disks or are gone.
+func (v *Voter) linkToMembers() {
+	members, index := v.node.Members()
+	if index == v.membersIndex {
+		return
+	}
+	v.membersIndex = index
+	for _, m := range members {
+		v.mesh.Target(m.Host)
+	}
 }
 
 // addControlHosts links to control hosts and registers them with the node as contacts.
