Let a stream go on only at the build that wrote its first event

Cause: nothing read the version that endpoints announce, nor which attempt a caller takes up again. A broken stream went to any engine. Evidence: TestStreamGoesOnAtItsOwnBuild failed with 45 of 120 streams of engines and 8 of 120 of plain services mixed. Change: heartbeats carry the build of an instance, and grants the build of the engine. The first event binds the rest of an answer. The leader notes which build each resumable attempt was sent to, mirrors these records to the other control hosts once a service runs several builds, and a new leader gets what the entry hosts hold. A request that takes a stream up again asks its own host, then the leader; an attempt that nobody knows goes on only if one build alone may have written, which is an entry of the log, and is rejected at once as not run otherwise. Engines of a build that is not in the log yet get no requests. As an engine may start again under its id with another build, connections to engines of services with several builds are verified by a report first. Records last as long as streams can, at most 65,536.

--- a/core/book/book.go
+++ b/core/book/book.go
@@ -6,6 +6,7 @@
 	"shallotgap/core/layout"
 	"shallotgap/core/limit"
 	"shallotgap/core/poison"
+	"shallotgap/core/resume"
 	"shallotgap/core/wire"
 )
 
@@ -26,6 +27,8 @@
 	Poison *poison.Command `json:"poison,omitempty"`
 	// Limits changes the limits that endpoints ask for.
 	Limits *limit.Command `json:"limits,omitempty"`
+	// Builds changes the builds of a service that may have written to streams.
+	Builds *resume.Command `json:"builds,omitempty"`
 }
 
 // Newest announces a new version of the weights of a base model or an adapter.
@@ -46,11 +49,13 @@
 	Poison *poison.Table
 	// Limits holds the rates that endpoints ask for.
 	Limits *limit.Table
+	// Builds holds the builds of each service that may have written to streams lately.
+	Builds *resume.Builds
 }
 
 // New returns the empty state.
 func New() *Book {
-	return &Book{Newest: map[AdapterRef]WeightsVersion{}, Poison: poison.NewTable(), Limits: limit.NewTable()}
+	return &Book{Newest: map[AdapterRef]WeightsVersion{}, Poison: poison.NewTable(), Limits: limit.NewTable(), Builds: resume.NewBuilds()}
 }
 
 // Apply carries out a command and reports whether it changed the state.
@@ -73,6 +78,8 @@
 		return b.Poison.Apply(*c.Poison)
 	case c.Limits != nil:
 		return b.Limits.Apply(*c.Limits)
+	case c.Builds != nil:
+		return b.Builds.Apply(*c.Builds)
 	}
 	return false
 }
@@ -93,11 +100,12 @@
 	Changes uint64          `json:"changes,omitempty"`
 	Poison  poison.Snapshot `json:"poison,omitempty"`
 	Limits  limit.Snapshot  `json:"limits,omitempty"`
+	Builds  resume.Snapshot `json:"builds,omitempty"`
 }
 
 // Snapshot returns the encoded state.
 func (b *Book) Snapshot() ([]byte, error) {
-	return wire.Marshal(snapshot{Layout: b.Layout, Newest: b.List(), Changes: b.Changes, Poison: b.Poison.Snapshot(), Limits: b.Limits.Snapshot()})
+	return wire.Marshal(snapshot{Layout: b.Layout, Newest: b.List(), Changes: b.Changes, Poison: b.Poison.Snapshot(), Limits: b.Limits.Snapshot(), Builds: b.Builds.Snapshot()})
 }
 
 // Restore returns the state that a snapshot was taken from; empty data gives the empty state.
@@ -111,6 +119,7 @@
 		return nil, err
 	}
 	b.Layout, b.Changes, b.Poison, b.Limits = snap.Layout, snap.Changes, poison.Restore(snap.Poison), limit.Restore(snap.Limits)
+	b.Builds = resume.Restore(snap.Builds)
 	for _, n := range snap.Newest {
 		b.Newest[n.Of] = n.Version
 	}
--- a/core/census/census.go
+++ b/core/census/census.go
@@ -30,6 +30,8 @@
 	Domain  ident.DomainID `json:"domain,omitempty"`
 	Slots   int            `json:"slots,omitempty"` // number of requests that the endpoint runs at once
 	State   State          `json:"state"`
+	// Build belongs to the instance: a restart may change it. It is empty for an endpoint that names none.
+	Build ident.Build `json:"build,omitempty"`
 	// Held lists the adapters on an engine at the time of the heartbeat.
 	Held []HeldAdapter `json:"held,omitempty"`
 	// Models are the base models on an engine.
@@ -97,7 +99,7 @@
 const (
 	Stale          Effect = iota // the heartbeat is outdated or a duplicate; nothing changed
 	Unchanged                    // a later heartbeat with the same content
-	Changed                      // the endpoint is new, or its state, address, service, slots or incarnation differ
+	Changed                      // the endpoint is new, or its state, address, service, slots, build or incarnation differ
 	UnknownService               // the service is not configured; nothing changed
 )
 
@@ -135,6 +137,9 @@
 		// An endpoint that drains or has left does not become ready again in the same incarnation.
 		return Stale
 	}
+	if known && old.Instance == e.Instance && old.Build != "" {
+		e.Build = old.Build // a heartbeat of another writer may name none, or another one
+	}
 	c.put(e)
 	if e.State != Gone && (c.configured != nil || !c.AwaitServices) {
 		c.displace(e)
@@ -214,10 +219,10 @@
 	}
 }
 
-// sameContent reports whether two heartbeats agree in instance, state, address, service and slots. Models and adapters change
+// sameContent reports whether two heartbeats agree in instance, state, address, service, slots and build. Models and adapters change
 // often and are compared by checksum.
 func sameContent(a, b Entry) bool {
-	return a.Instance == b.Instance && a.State == b.State && a.Address == b.Address && a.Service == b.Service && a.Slots == b.Slots
+	return a.Instance == b.Instance && a.State == b.State && a.Address == b.Address && a.Service == b.Service && a.Slots == b.Slots && a.Build == b.Build
 }
 
 // Leave marks an endpoint as gone. It returns the entry, and false when the endpoint is unknown, has already left, or is of
--- a/core/census/follow.go
+++ b/core/census/follow.go
@@ -56,6 +56,7 @@
 	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(e.Instance.Born)))
 	_, _ = h.Write([]byte{byte(e.State)})
 	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(e.Slots)))
+	_, _ = h.Write([]byte(e.Build))
 	return h.Sum64()
 }
 
--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -11,6 +11,7 @@
 	"shallotgap/core/ident"
 	"shallotgap/core/layout"
 	"shallotgap/core/poison"
+	"shallotgap/core/resume"
 )
 
 // Authority schedules all requests for engines: it grants them, orders loads and evictions of adapters, and rejects requests.
@@ -22,6 +23,7 @@
 	startedAt      ident.Time
 	lastStep       ident.Time // time of the latest Step
 	layout         *layout.Layout
+	builds         *resume.Builds // nil if engines of all builds may be used
 	newestVersions map[book.AdapterRef]book.WeightsVersion
 	engines        map[ident.EndpointID]*engine
 	waiting        map[ID]*waiter
@@ -105,6 +107,9 @@
 // SetLayout sets the current layout.
 func (t *Authority) SetLayout(l *layout.Layout) { t.layout = l }
 
+// SetBuilds sets the replicated table of builds. Engines of other builds get no requests, as a later leader would not know of them.
+func (t *Authority) SetBuilds(b *resume.Builds) { t.builds = b }
+
 // SetNewest sets the newest version of an adapter.
 func (t *Authority) SetNewest(n book.Newest) { t.newestVersions[n.Of] = n.Version }
 
@@ -311,7 +316,8 @@
 
 // newPlace returns the place on an engine that a request is granted.
 func (t *Authority) newPlace(e *engine, a Ask) *Place {
-	p := &Place{Instance: e.entry.Instance, Address: e.entry.Address}
+	p := &Place{Instance: e.entry.Instance, Address: e.entry.Address, Build: e.entry.Build}
+	p.Verify = a.Resumable && t.builds != nil && t.builds.Mixed(a.Service) && !t.limits.Limited(p.Instance)
 	if a.Ref.Adapter != "" {
 		p.Version = t.requiredVersion(e, a.Ref)
 	}
--- a/core/grant/grant.go
+++ b/core/grant/grant.go
@@ -12,6 +12,7 @@
 	"shallotgap/core/ident"
 	"shallotgap/core/limit"
 	"shallotgap/core/poison"
+	"shallotgap/core/resume"
 )
 
 // ID identifies one ask; it is unique across hosts and their restarts.
@@ -55,14 +56,23 @@
 	// Whole are the parts that stand for the whole request. They are set while endpoints have crashed lately; a request for a plain
 	// service that is suspected needs a permit.
 	Whole []poison.Part `json:"whole,omitempty"`
+	// Resumable is true for a stream that may go on at another endpoint of the build that began it.
+	Resumable bool `json:"resumable,omitempty"`
+	// Bound is true for a stream that has begun: only endpoints of Build may go on with it.
+	Bound bool        `json:"bound,omitempty"`
+	Build ident.Build `json:"build,omitempty"`
 }
 
 // Place is the engine that a request was granted.
 type Place struct {
 	Instance ident.Instance `json:"instance"`
 	Address  string         `json:"address"`
+	Build    ident.Build    `json:"build,omitempty"` // what the endpoint runs
 	// Version is the adapter version that the request must run with; 0 when the endpoint need not check it.
 	Version book.WeightsVersion `json:"version,omitempty"`
+	// Verify asks the entry host to verify the instance before it sends the request, as an engine may have started again under its id
+	// with another build.
+	Verify bool `json:"verify,omitempty"`
 	// Watch asks the entry host to tell when the engine has written for WrittenAfter, as a part of the prompt is suspected.
 	Watch bool `json:"watch,omitempty"`
 }
@@ -81,6 +91,9 @@
 	Poison      Cause = "poison"          // a part of the prompt crashes engines and is blocked
 	Suspected   Cause = "suspected"       // an engine crashed with the request, which may be why
 	Limited     Cause = "endpoint-limit"  // the endpoints take no more requests a second
+	// VersionGone and VersionUnknown reject streams that have begun.
+	VersionGone    Cause = "version-gone"    // no ready endpoint runs the build that began the stream
+	VersionUnknown Cause = "version-unknown" // it is not known which of several builds began the stream
 )
 
 // Reply answers an ask with a place or a rejection.
@@ -129,6 +142,8 @@
 	// Prefilled is true when the first event has arrived, which shows that the prefill is complete. Entry hosts of earlier
 	// releases leave the field out.
 	Prefilled bool `json:"read,omitempty"`
+	// Build is what the engine runs.
+	Build ident.Build `json:"build,omitempty"`
 	// Wrote is how long the engine has sent events.
 	Wrote time.Duration `json:"wrote,omitempty"`
 }
@@ -193,7 +208,9 @@
 	// Limits lists changes to the replicated table of limits, Sends the sends to endpoints with limits that were decided on.
 	Limits []limit.Command
 	Sends  []LimitedSend
-	Notes  []Note
+	// Granted tells the builds to which resumable streams were sent.
+	Granted []resume.Record
+	Notes   []Note
 }
 
 // Routed is a reply with the entry host that it goes to.
--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -9,6 +9,7 @@
 	"shallotgap/core/census"
 	"shallotgap/core/ident"
 	"shallotgap/core/layout"
+	"shallotgap/core/resume"
 )
 
 // option is an engine that a request could be sent to, with the expected cost.
@@ -51,6 +52,10 @@
 	}
 	w.nextReview = now.Add(reviewInterval)
 	w.planOn(nil, 0)
+	if w.ask.Bound && !t.anyOfBuild(w.ask, now) {
+		t.rejectWaiter(w, VersionGone, 0)
+		return
+	}
 	if t.holdBack(w, now) {
 		return
 	}
@@ -121,6 +126,24 @@
 	}
 }
 
+// anyOfBuild reports whether a usable engine runs the build that began a stream.
+func (t *Authority) anyOfBuild(a Ask, now ident.Time) bool {
+	for _, e := range t.engines {
+		if e.entry.Service == a.Service && e.entry.Build == a.Build && e.usable(now, t.Params) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayWrite reports whether an engine's build may write to the stream of a request.
+func (t *Authority) mayWrite(e *engine, a Ask) bool {
+	if t.builds != nil && !t.builds.Has(e.entry.Service, e.entry.Build) {
+		return false // not replicated yet
+	}
+	return !a.Bound || e.entry.Build == a.Build
+}
+
 // anyUsable reports whether a usable engine of the request's service holds its model.
 func (t *Authority) anyUsable(a Ask, now ident.Time) bool {
 	for _, e := range t.engines {
@@ -159,7 +182,10 @@
 		t.recordProbe(s, a.ID, now)
 	}
 	t.reply(a, Reply{ID: a.ID, Place: p})
-	t.addNote("grant", a, p.Instance.ID, "granted", fmt.Sprintf("waited=%dms cost=%dms running=%d tokens=%d version=%d adapter=%s", now.Sub(w.since).Milliseconds(), o.cost.Milliseconds(), len(o.engine.running), o.engine.reservedTokens, p.Version, a.Ref.Adapter))
+	if a.Resumable {
+		t.effects.Granted = append(t.effects.Granted, resume.Record{Attempt: resume.Attempt(a.Request), Service: a.Service, Build: p.Build, Wrote: a.Bound})
+	}
+	t.addNote("grant", a, p.Instance.ID, "granted", fmt.Sprintf("waited=%dms cost=%dms running=%d tokens=%d version=%d adapter=%s build=%s bound=%t", now.Sub(w.since).Milliseconds(), o.cost.Milliseconds(), len(o.engine.running), o.engine.reservedTokens, p.Version, a.Ref.Adapter, p.Build, a.Bound))
 }
 
 func sendKind(a Ask) SendKind {
@@ -175,8 +201,12 @@
 	var best, late option
 	found, foundLate, unlimited := false, false, false
 	storeBusy := t.storeSaturated()
-	for _, e := range t.candidates(w.ask.Ref) {
-		if e.entry.Service != w.ask.Service || !e.usable(now, t.Params) || !e.holdsModel(w.ask.Ref.Model) || slices.Contains(w.ask.Avoid, e.entry.Instance.ID) {
+	candidates := t.candidates(w.ask.Ref)
+	if w.ask.Bound {
+		candidates = t.enginesByID() // a sample may hold none of the build
+	}
+	for _, e := range candidates {
+		if !t.mayWrite(e, w.ask) || e.entry.Service != w.ask.Service || !e.usable(now, t.Params) || !e.holdsModel(w.ask.Ref.Model) || slices.Contains(w.ask.Avoid, e.entry.Instance.ID) {
 			continue
 		}
 		if e.failures.recentlyUnreachable(now) || (len(w.suspects) > 0 && e.runsSuspect()) {
--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -29,6 +29,9 @@
 // Service names a plain service, or the base model of engines, that requests are routed to.
 type Service string
 
+// Build is the version of the software that an endpoint runs, not of its weights. Builds have no order.
+type Build string
+
 // Index is a position in the replicated log; the first entry has index 1.
 type Index uint64
 
--- a/io/calls/calls.go
+++ b/io/calls/calls.go
@@ -13,6 +13,7 @@
 	"shallotgap/core/ident"
 	"shallotgap/core/layout"
 	"shallotgap/core/poison"
+	"shallotgap/core/resume"
 	"shallotgap/io/clock"
 	"shallotgap/io/link"
 )
@@ -223,6 +224,15 @@
 	return a.Source, err
 }
 
+// StreamBuild returns at which build a stream may go on, as the leader knows it.
+func (f *Forwarder) StreamBuild(ctx context.Context, q resume.Query) (resume.Verdict, error) {
+	a, err := f.call(ctx, func(id uint64) link.Message { return link.Message{Call: &link.Call{ID: id, Stream: &q}} })
+	if err != nil || a.Stream == nil { // a leader of an earlier version does not know
+		return resume.Verdict{Source: resume.FromNothing}, err
+	}
+	return *a.Stream, nil
+}
+
 // Announce passes an endpoint's heartbeat to the leader. After an error, the endpoint should send it to another host.
 func (f *Forwarder) Announce(ctx context.Context, e census.Entry) error {
 	_, err := f.call(ctx, func(id uint64) link.Message {
--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -53,6 +53,8 @@
 	HasBody bool
 	// MaxIdle is the longest idle time of a reused connection: 0 means no limit, a negative value forces a new connection.
 	MaxIdle time.Duration
+	// Greeting is sent first on a connection that has carried none; nil for none.
+	Greeting *Greeting
 }
 
 // Error is a request that got no response.
@@ -95,6 +97,7 @@
 	headLeft    int64      // bytes that the header may still take; 0 or more only while it is read
 	lastUsed    ident.Time // when the connection was last put into the pool
 	idleTimeout time.Duration
+	greeted     bool // a Greeting was answered as it should be
 }
 
 // noHeadLimit is the value of conn.headLeft while no header is read.
@@ -135,6 +138,10 @@
 	if err != nil {
 		return nil, &Error{Step: "connect", Peer: r.Address, Err: err}
 	}
+	if err := cn.greet(ctx, r); err != nil {
+		_ = cn.Close()
+		return nil, &Error{Step: "greet", Peer: r.Address, Err: err}
+	}
 	resp := &Response{client: c, conn: cn, key: r.Key, written: make(chan error, 1)}
 	resp.stopWatch = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	if err := resp.exchange(r); err != nil {
@@ -148,6 +155,8 @@
 	return resp, nil
 }
 
+var errNotKept = errors.New("the endpoint does not keep the connection after the greeting")
+
 var errNothingSent = errors.New("no byte of the request was sent")
 
 // exchange writes the request and reads the response header, skipping 1xx responses.
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -21,6 +21,7 @@
 	"shallotgap/core/limit"
 	"shallotgap/core/pick"
 	"shallotgap/core/poison"
+	"shallotgap/core/resume"
 	"shallotgap/io/calls"
 	"shallotgap/io/clock"
 	"shallotgap/io/dial"
@@ -45,6 +46,8 @@
 	Caller string
 	// LastEventID is the id of the last event that the caller received; the stream resumes after this event.
 	LastEventID string
+	// Resumes is the attempt that brought the first event of the stream that the request takes up again; empty if the caller names none.
+	Resumes resume.Attempt
 }
 
 // Target holds the values of the headers that a request to an endpoint carries.
@@ -83,6 +86,8 @@
 	// Outgoing returns the request headers for an endpoint: those of the caller, without hop-by-hop headers, and with the
 	// system's own headers set from t. A caller can't set the latter.
 	Outgoing(h http.Header, t Target) http.Header
+	// Greeting returns the request that verifies that an instance of an engine serves a connection.
+	Greeting(i ident.Instance) *dial.Greeting
 	// Incoming returns the headers of an endpoint's response to forward to the caller.
 	Incoming(h http.Header) http.Header
 	// Verdict decodes the headers of a response to the request with the given id.
@@ -159,6 +164,7 @@
 	lastServed     map[book.AdapterRef]servedPlace // the last grant of each adapter
 	retryBudgets   map[ident.Service]*grant.Budget // retry budgets of plain services
 	sendCounts     map[ident.Service]*grant.Budget // first sends to engines and retries, reported to a new authority
+	streams        *resume.Table                   // builds that wrote to the streams of this host
 	grantSeq       uint64                          // number of the latest grant request; part of its id, as is startedAt
 	startedAt      ident.Time
 }
@@ -168,7 +174,7 @@
 	f := &Front{
 		Common: common, Config: c, Meter: meter, client: dial.New(), layoutLoaded: make(chan struct{}), census: census.NewFollower(), poison: poison.NewTable(), written: poison.NewWritten(), evidence: poison.NewEvidence(), picker: pick.New(c.Domain),
 		limits: newHostLimits(), permitTimes: map[ident.Service]permitTimes{}, newestVersions: map[book.AdapterRef]book.WeightsVersion{}, controlStatus: map[ident.HostID]link.Status{}, grantRequests: map[grant.ID]*grantRequest{},
-		lastServed: map[book.AdapterRef]servedPlace{}, retryBudgets: map[ident.Service]*grant.Budget{}, sendCounts: map[ident.Service]*grant.Budget{}, startedAt: clock.Boot(), entryHosts: 1,
+		lastServed: map[book.AdapterRef]servedPlace{}, retryBudgets: map[ident.Service]*grant.Budget{}, sendCounts: map[ident.Service]*grant.Budget{}, streams: resume.NewTable(resume.LifeOf(nil), resume.Capacity), startedAt: clock.Boot(), entryHosts: 1,
 	}
 	f.router.Store(layout.NewRouter(nil))
 	f.Forwarder = calls.New(calls.Config{Send: func(to ident.HostID, m link.Message) bool { return f.mesh.Send(to, m) }})
@@ -283,6 +289,7 @@
 		close(f.layoutLoaded)
 	}
 	f.router.Store(layout.NewRouter(next))
+	f.streams.Life = resume.LifeOf(next)
 	f.Log.WithField("step", "layout").WithField("peer", from).WithField("version", c.To).WithField("routes", len(next.Routes)).Info("layout")
 }
 
--- a/io/front/grants.go
+++ b/io/front/grants.go
@@ -10,6 +10,7 @@
 	"shallotgap/core/census"
 	"shallotgap/core/grant"
 	"shallotgap/core/ident"
+	"shallotgap/core/resume"
 	"shallotgap/io/clock"
 	"shallotgap/io/link"
 )
@@ -27,6 +28,9 @@
 	fallbackMaxAge = 30 * time.Second
 	// longWithoutAuthority is the time without an authority, many elections, after which requests no longer wait for one.
 	longWithoutAuthority = 5 * time.Second
+	// certainWithoutAuthority is the time without an authority in which an engine cannot start again under its id and take requests: it
+	// starts empty, and only the next leader may order loads.
+	certainWithoutAuthority = time.Second
 	// A grant request without an authority fails after the request's timeout divided by noAuthorityDivisor.
 	noAuthorityDivisor = 3
 	// noAuthorityRetryAfter is the Retry-After of requests rejected for lack of an authority: the duration of an election
@@ -39,7 +43,9 @@
 	msg      grant.Ask // the message to the authority
 	openedAt ident.Time
 	place    *grant.Place // the granted engine; nil while waiting
-	reply    chan grant.Reply
+	// uncertain is true for an engine that may have started again as another build, which this host has not heard of.
+	uncertain bool
+	reply     chan grant.Reply
 	// promptRead is true once the first event has arrived: the engine has finished the prefill.
 	promptRead atomic.Bool
 	// wroteFor is how long the engine has sent events, as a time.Duration.
@@ -212,7 +218,7 @@
 		}
 		a := req.msg
 		a.Left -= clock.Boot().Sub(req.openedAt)
-		active.Places = append(active.Places, grant.RunningRequest{Ask: a, Instance: req.place.Instance, Prefilled: req.promptRead.Load(), Wrote: time.Duration(req.wroteFor.Load())})
+		active.Places = append(active.Places, grant.RunningRequest{Ask: a, Instance: req.place.Instance, Build: req.place.Build, Prefilled: req.promptRead.Load(), Wrote: time.Duration(req.wroteFor.Load())})
 	}
 	for s, b := range f.sendCounts {
 		active.SendCounts[s] = b.Sends(clock.Boot())
@@ -225,6 +231,7 @@
 	}
 	active.Written = f.written.Latest(reportedWritten, clock.Boot())
 	active.Limits = f.limits.known(clock.Boot())
+	active.Begun = f.streams.List(func(resume.Record) bool { return true }, clock.Boot())
 	active.Crashes = f.evidence.Crashes(clock.Boot())
 	f.mu.Unlock()
 	f.mesh.Send(to, link.Message{Live: &active})
@@ -256,11 +263,15 @@
 	if state, _ := f.evidence.StateOf(f.poison, req.msg.Whole, false, clock.Boot()); suspected != "" || state != 0 {
 		return grant.Reply{}, false // only the authority keeps suspects apart
 	}
+	if req.msg.Bound && p.Build != req.msg.Build {
+		return grant.Reply{}, false
+	}
 	if wait := f.limits.takeShare(p.Instance, f.entryHosts, clock.Boot()); wait > 0 {
 		return grant.Reply{}, false
 	}
 	p.Version = max(p.Version, f.newestVersions[req.msg.Ref])
 	req.place = &p
+	req.uncertain = f.LeaderlessFor(clock.Boot()) > certainWithoutAuthority
 	return grant.Reply{ID: req.msg.ID, Place: &p}, true
 }
 
--- a/io/front/permit.go
+++ b/io/front/permit.go
@@ -49,7 +49,7 @@
 	}
 	now := clock.Boot()
 	ex.mu.Lock()
-	list := ex.census.ByService(ex.service.Name)
+	list := ex.ofBuild(ex.census.ByService(ex.service.Name))
 	var free, limited []census.Entry
 	for _, e := range list {
 		if _, ok := ex.limits.of(e.Instance, now); ok {
@@ -73,6 +73,9 @@
 	switch {
 	case !hasFree && !hasLimited:
 		ex.logDecision("choose", "", "none", "known="+strconv.Itoa(len(list))+" avoided="+strconv.Itoa(len(avoid)))
+		if ex.bound && len(avoid) == 0 {
+			return choice{cause: grant.VersionGone}
+		}
 		return choice{}
 	case !ask:
 		return choice{endpoint: bestFree, found: true}
--- a/io/front/plain.go
+++ b/io/front/plain.go
@@ -11,6 +11,7 @@
 	"shallotgap/core/census"
 	"shallotgap/core/grant"
 	"shallotgap/core/ident"
+	"shallotgap/core/layout"
 	"shallotgap/core/pick"
 	"shallotgap/io/clock"
 	"shallotgap/io/dial"
@@ -47,6 +48,7 @@
 			return
 		}
 		e := c.endpoint
+		ex.noteBuild(e.Build)
 		avoid = append(avoid, e.Instance.ID)
 		result := ex.sendPlain(ctx, e)
 		ex.endPermitted(c.watched, result)
@@ -166,6 +168,10 @@
 		ex.endSend(e, pick.Good, v.Load)
 	}
 	ex.recordSound()
+	if ex.route.Kind == layout.Stream && resp.StatusCode/100 == http.StatusOK/100 {
+		ex.builds = nil // the leader has not chosen the endpoint, so it must be told
+		ex.bindTo(e.Build, true)
+	}
 	ex.forwardResponse(resp, body)
 	ex.Meter.ObserveDuration("shallotgap_plain_seconds", clock.Boot().Sub(sentAt))
 	return sendDone
--- a/io/front/serve.go
+++ b/io/front/serve.go
@@ -24,6 +24,7 @@
 // exchange is a caller's request in progress.
 type exchange struct {
 	*Front
+	binding
 	w          http.ResponseWriter
 	r          *http.Request
 	call       Call
@@ -63,6 +64,9 @@
 	}
 	ctx, cancel := context.WithTimeoutCause(r.Context(), ex.deadline.Sub(clock.Boot()), errDeadlinePassed)
 	defer cancel()
+	if !ex.bindResumed(ctx) {
+		return
+	}
 	if ex.service.Engine != nil && ex.call.Ref.Model != "" {
 		ex.serveStream(ctx)
 	} else {
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -33,6 +33,7 @@
 	a := grant.Ask{
 		Request: ex.call.ID, Service: ex.service.Name, Ref: ex.call.Ref, Prompt: ex.call.Prompt, Output: ex.call.Output, Parts: ex.call.Parts,
 		Priority: ex.route.Priority, Target: ex.route.Target, Gap: ex.route.MaxGap,
+		Resumable: ex.route.Resumable,
 	}
 	events := &eventStream{exchange: ex, lastID: ex.call.LastEventID}
 	runs := 0
@@ -43,6 +44,7 @@
 		a.Left = ex.timeLeft()
 		a.Silence = events.silenceLeft(clock.Boot())
 		a.Sends = ex.sends
+		a.Bound, a.Build = ex.bound, ex.build
 		if ex.crashesKnown() {
 			a.Whole = ex.wholeParts()
 		}
@@ -57,6 +59,9 @@
 		case result == sendDone:
 			return
 		case result == sendNotRun && ctx.Err() == nil:
+		case result == sendBroken && ex.bound && req.uncertain:
+			ex.fail(string(grant.VersionUnknown), 0)
+			return
 		case result == sendBroken && !lastAttempt && ctx.Err() == nil:
 			runs++
 			a.Avoid = append(a.Avoid, req.place.Instance.ID)
@@ -84,6 +89,13 @@
 // not run again if the stream breaks off.
 func (ex *exchange) sendStream(ctx context.Context, req *grantRequest, events *eventStream, lastAttempt bool) sendResult {
 	p := *req.place
+	if ex.bound && p.Build != ex.build {
+		// The leader is of an earlier release, which does not know builds.
+		ex.logDecision("resume", p.Instance.ID, "other-build", fmt.Sprintf("build=%s granted=%s", ex.build, p.Build))
+		ex.release(req, grant.Cancelled, 0, 0)
+		return sendNotRun
+	}
+	ex.noteBuild(p.Build)
 	sentAt := clock.Boot()
 	sendCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -93,7 +105,11 @@
 	} else {
 		events.eventTimer = nil
 	}
-	resp, err := ex.client.Do(sendCtx, ex.endpointRequest(Target{Instance: p.Instance, Version: p.Version, Timeout: ex.timeLeft(), LastEventID: events.lastID, Engine: true, Priority: ex.route.Priority}, p.Address))
+	r := ex.endpointRequest(Target{Instance: p.Instance, Version: p.Version, Timeout: ex.timeLeft(), LastEventID: events.lastID, Engine: true, Priority: ex.route.Priority}, p.Address)
+	if p.Verify {
+		r.Greeting = ex.Dialect.Greeting(p.Instance)
+	}
+	resp, err := ex.client.Do(sendCtx, r)
 	var failed *dial.Error
 	if errors.As(err, &failed) {
 		return ex.streamSendFailed(ctx, req, failed)
--- a/io/link/message.go
+++ b/io/link/message.go
@@ -14,6 +14,7 @@
 	"shallotgap/core/limit"
 	"shallotgap/core/poison"
 	"shallotgap/core/quorum"
+	"shallotgap/core/resume"
 )
 
 // Hello identifies the sending host; it is the first message in each direction of a link.
@@ -50,6 +51,7 @@
 	Crashed         *CrashReport            `json:"crashed,omitempty"`
 	LimitSeen       *limit.Seen             `json:"limit-seen,omitempty"`
 	Limits          *Limits                 `json:"limits,omitempty"`
+	Begun           []resume.Record         `json:"begun,omitempty"`
 	Call            *Call                   `json:"call,omitempty"`
 	EndpointCall    *EndpointCall           `json:"endpoint-call,omitempty"`
 	Answer          *Answer                 `json:"answer,omitempty"`
@@ -96,6 +98,8 @@
 	Crashes []poison.Crash `json:"crashes,omitempty"`
 	// SendCounts holds, for each service, the first sends to engines and the retries within the window of the retry budget.
 	SendCounts map[ident.Service]grant.Sends `json:"sent,omitempty"`
+	// Begun lists the builds that wrote to the streams of this entry host.
+	Begun []resume.Record `json:"begun,omitempty"`
 }
 
 // Fetch requests the layout, the adapter versions, the suspected and blocked parts and the limits of endpoints from a control host,
@@ -145,6 +149,8 @@
 	Command book.Command `json:"command"`
 	// Read requests the current layout instead of running a command.
 	Read bool `json:"read,omitempty"`
+	// Stream asks at which build a stream may go on instead of running a command.
+	Stream *resume.Query `json:"stream,omitempty"`
 }
 
 // EndpointCall is an endpoint's heartbeat or deregistration that an entry host forwards to the leader; one field is set.
@@ -163,6 +169,8 @@
 	Cause string `json:"cause,omitempty"`
 	// Source is the operator's source text of the layout that a read requested.
 	Source []byte `json:"source,omitempty"`
+	// Stream answers the question at which build a stream may go on.
+	Stream *resume.Verdict `json:"stream,omitempty"`
 }
 
 // Timeouts and limits of a link.
--- a/io/voter/calls.go
+++ b/io/voter/calls.go
@@ -92,6 +92,8 @@
 		return // the sender forwards the call to the next leader or times out
 	}
 	switch {
+	case c.Stream != nil:
+		v.answerStream(from, c)
 	case c.Read && v.book.Layout == nil:
 		reply(link.Answer{ID: c.ID, Cause: "there is no layout yet"})
 	case c.Read:
--- a/io/voter/lead.go
+++ b/io/voter/lead.go
@@ -12,6 +12,7 @@
 	"shallotgap/core/ident"
 	"shallotgap/core/layout"
 	"shallotgap/core/quorum"
+	"shallotgap/core/resume"
 	"shallotgap/io/clock"
 	"shallotgap/io/link"
 )
@@ -23,6 +24,9 @@
 	startedAt  ident.Time
 	ordersFrom ident.Time // earliest time at which this leader may send its first order
 	lastOrder  ident.Time
+	builds     *resume.Watch
+	// buildsDue is the time of the next look at the builds of endpoints.
+	buildsDue ident.Time
 }
 
 // orderTimeout limits an order or a report request to an engine; engines answer both at once.
@@ -45,12 +49,13 @@
 	if v.leadership == nil {
 		v.beginLeading(term, now)
 	}
+	v.watchBuilds(now)
 	v.serveDeferred()
 	v.executeGrantEffects(ctx, v.leadership.authority.Step(now), now)
 }
 
 func (v *Voter) beginLeading(term ident.Term, now ident.Time) {
-	v.leadership = &leadership{authority: grant.New(v.GrantParams, now), term: term, startedAt: now}
+	v.leadership = &leadership{authority: grant.New(v.GrantParams, now), term: term, startedAt: now, builds: resume.NewWatch()}
 	if v.lastOrder != 0 {
 		// Another host may have sent orders since this host's last order, and orders of two hosts must not alternate within
 		// OrderPause.
@@ -58,6 +63,7 @@
 	}
 	v.leadership.authority.SetPoison(v.book.Poison)
 	v.leadership.authority.SetLimits(v.book.Limits, now)
+	v.leadership.authority.SetBuilds(v.book.Builds)
 	v.proposePoisonKey()
 	v.leadership.setLayout(v.book.Layout, v.census.List())
 	for _, n := range v.book.List() {
@@ -100,7 +106,11 @@
 		for _, s := range m.Live.Limits {
 			v.leadership.authority.ObserveLimit(s, now)
 		}
+		v.addStreams(m.Live.Begun, now)
 		for _, l := range m.Live.Places {
+			if l.Ask.Resumable {
+				v.addStreams([]resume.Record{{Attempt: resume.Attempt(l.Ask.Request), Service: l.Ask.Service, Build: l.Build, Wrote: l.Ask.Bound}}, now)
+			}
 			v.leadership.authority.Resume(l, now)
 		}
 		for _, h := range m.Live.LastServed {
@@ -113,6 +123,7 @@
 }
 
 func (v *Voter) executeGrantEffects(ctx context.Context, e grant.Effects, now ident.Time) {
+	v.addStreams(e.Granted, now)
 	for _, r := range e.Replies {
 		v.mesh.Send(r.Host, link.Message{Reply: &r.Reply})
 	}
--- a/io/voter/log.go
+++ b/io/voter/log.go
@@ -11,6 +11,7 @@
 	"shallotgap/core/ident"
 	"shallotgap/core/layout"
 	"shallotgap/core/quorum"
+	"shallotgap/core/resume"
 	"shallotgap/core/wire"
 	"shallotgap/core/world"
 	"shallotgap/io/clock"
@@ -53,6 +54,7 @@
 	}
 	former := v.book.Layout
 	v.book, v.applied, v.nextStatus = state, s.Index, 0
+	v.streams.Life = resume.LifeOf(state.Layout)
 	if former == nil && v.book.Layout != nil {
 		v.setCensusServices()
 	}
@@ -85,6 +87,7 @@
 	log := v.Log.WithField("step", "apply").WithField("index", index)
 	switch {
 	case c.Layout != nil:
+		v.streams.Life = resume.LifeOf(c.Layout)
 		v.latestChange = layout.Diff(former, v.book.Layout)
 		v.sendServiceEndpoints(former)
 		if former == nil {
@@ -97,6 +100,8 @@
 		v.logPoison(*c.Poison)
 	case c.Limits != nil:
 		v.logLimits(*c.Limits)
+	case c.Builds != nil:
+		v.logBuilds(*c.Builds)
 	}
 	if v.leadership == nil {
 		return
--- a/io/voter/status.go
+++ b/io/voter/status.go
@@ -205,6 +205,9 @@
 			}
 		}
 		if result == census.Changed {
+			if v.leadership != nil {
+				v.leadership.buildsDue = 0
+			}
 			v.logEndpoint(e, "changed")
 		}
 		for _, e := range displaced {
@@ -242,7 +245,7 @@
 
 func (v *Voter) logEndpoint(e census.Entry, outcome string) {
 	v.Log.WithField("step", "census").WithField("endpoint", e.Instance.ID).WithField("born", e.Instance.Born).WithField("seq", e.Seq).
-		WithField("state", e.State).WithField("address", e.Address).WithField("service", e.Service).WithField("outcome", outcome).Info("endpoint")
+		WithField("state", e.State).WithField("address", e.Address).WithField("service", e.Service).WithField("build", e.Build).WithField("outcome", outcome).Info("endpoint")
 }
 
 // queueChange queues a change of an endpoint, which all linked hosts receive with the next tick.
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -16,6 +16,7 @@
 	"shallotgap/core/ident"
 	"shallotgap/core/layout"
 	"shallotgap/core/quorum"
+	"shallotgap/core/resume"
 	"shallotgap/core/world"
 	"shallotgap/io/calls"
 	"shallotgap/io/clock"
@@ -98,7 +99,9 @@
 	leadership         *leadership
 	applied            ident.Index
 	startedAt          ident.Time
-	bytesSinceSnapshot int // size in bytes of the entries applied since the last snapshot
+	streams            *resume.Table   // builds that wrote to streams
+	newStreams         []resume.Record // records that the other control hosts have not been sent
+	bytesSinceSnapshot int             // size in bytes of the entries applied since the last snapshot
 	lastTerm           ident.Term
 	lastOrder          ident.Time // time of the last order that this host sent as leader of an earlier term
 	shortHeartbeats    []census.ShortHeartbeat
@@ -139,6 +142,7 @@
 		leaderCalls: leaderCalls{proposed: map[ident.Index][]proposal{}},
 		applied:     stored.Snapshot.Index, startedAt: clock.Boot(),
 	}
+	v.streams = resume.NewTable(resume.LifeOf(state.Layout), resume.Capacity)
 	v.Forwarder = calls.New(calls.Config{Send: v.sendCall})
 	v.census.AwaitServices = true
 	if v.book.Layout != nil {
@@ -230,6 +234,7 @@
 		}
 	}
 	v.flushCensus()
+	v.flushStreams()
 	v.followLeader(now)
 	if late := v.disk.OldestAge(now); late > slowDiskLimit && v.node.Role() == quorum.Leader {
 		v.Log.WithField("step", "lead").WithField("write", late.String()).Warn("disk-slow")
@@ -286,6 +291,8 @@
 		v.serveEndpointCall(from.Host, *m.EndpointCall)
 	case m.Answer != nil:
 		v.Resolve(*m.Answer)
+	case m.Begun != nil:
+		v.receiveStreams(from, m.Begun, now)
 	default:
 		v.receiveGrantMessage(from, m, now)
 	}
