Tell the authority of engines that deregister at the leader

What callers saw: a stream whose last endpoint of its build had left was granted a place there once more, and later ones waited for an eighth of their time instead of being rejected at once. Cause: the leader marked the endpoint as gone and told all other hosts, but not its own authority, which went on granting places there until heartbeats were overdue; entry hosts that had the news gave these back. Evidence: TestStreamOfBuildThatIsGone failed: status 200 from the endpoint that had left, while the leader had logged outcome=left. Change: the deregistration passes to the authority like a heartbeat that says so.

--- a/io/voter/status.go
+++ b/io/voter/status.go
@@ -172,7 +172,11 @@
 }
 
 func (v *Voter) deregister(i ident.Instance) {
-	if e, ok := v.census.Leave(i.ID, i.Born, clock.Boot()); ok {
+	now := clock.Boot()
+	if e, ok := v.census.Leave(i.ID, i.Born, now); ok {
+		if v.leadership != nil {
+			v.leadership.authority.Observe(e, now)
+		}
 		v.logEndpoint(e, "left")
 		v.queueChange(e)
 	}
