Keep a stream that is taken up again at its service, as far as its route allows

What callers saw: nothing reported; found on the way. Each attempt at a split route may be given another service, whose endpoints of the same version name did not write the stream; a stream whose route was moved must not run at the former service. Change: the record of the attempt names the service; the request moves there if its route still leads there, else it is rejected at once with version-gone. Engines that an entry host chose without a leader are told to the control hosts. Lists of builds are logged as text.

--- a/io/front/grants.go
+++ b/io/front/grants.go
@@ -43,6 +43,8 @@
 	msg      grant.Ask // the message to the authority
 	openedAt ident.Time
 	place    *grant.Place // the granted engine; nil while waiting
+	// fallback is true for an engine that this host chose without an authority.
+	fallback bool
 	// uncertain is true for an engine that may have started again as another build, which this host has not heard of.
 	uncertain bool
 	reply     chan grant.Reply
@@ -271,6 +273,7 @@
 	}
 	p.Version = max(p.Version, f.newestVersions[req.msg.Ref])
 	req.place = &p
+	req.fallback = true
 	req.uncertain = f.LeaderlessFor(clock.Boot()) > certainWithoutAuthority
 	return grant.Reply{ID: req.msg.ID, Place: &p}, true
 }
--- a/io/front/plain.go
+++ b/io/front/plain.go
@@ -48,7 +48,6 @@
 			return
 		}
 		e := c.endpoint
-		ex.noteBuild(e.Build)
 		avoid = append(avoid, e.Instance.ID)
 		result := ex.sendPlain(ctx, e)
 		ex.endPermitted(c.watched, result)
@@ -169,8 +168,7 @@
 	}
 	ex.recordSound()
 	if ex.route.Kind == layout.Stream && resp.StatusCode/100 == http.StatusOK/100 {
-		ex.builds = nil // the leader has not chosen the endpoint, so it must be told
-		ex.bindTo(e.Build, true)
+		ex.bindTo(e.Build, true, false)
 	}
 	ex.forwardResponse(resp, body)
 	ex.Meter.ObserveDuration("shallotgap_plain_seconds", clock.Boot().Sub(sentAt))
--- a/io/front/resume.go
+++ b/io/front/resume.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"shallotgap/core/census"
 	"shallotgap/core/grant"
@@ -44,19 +45,28 @@
 		ex.rejectResumed(ctx, err)
 		return false
 	}
-	if v.Service != ex.service.Name {
-		// Each attempt at a split route may be given another service.
-		service, found := ex.router.Load().Layout.Service(v.Service)
-		if !found {
-			ex.fail(string(grant.VersionGone), 0)
-			return false
-		}
-		ex.service = service
+	if !ex.moveToService(v.Service) {
+		ex.fail(string(grant.VersionGone), 0)
+		return false
 	}
 	ex.bound, ex.build = true, v.Build
 	return true
 }
 
+// moveToService moves the request to the service that began the stream, as each attempt at a split route may be given another one. It
+// reports false if the route leads there no more.
+func (ex *exchange) moveToService(name ident.Service) bool {
+	if name == ex.service.Name {
+		return true
+	}
+	service, found := ex.router.Load().Layout.Service(name)
+	if !found || !slices.ContainsFunc(ex.route.Shares, func(s layout.Share) bool { return s.Service == name && s.Weight > 0 }) {
+		return false
+	}
+	ex.service = service
+	return true
+}
+
 func (ex *exchange) rejectResumed(ctx context.Context, err error) {
 	switch {
 	case ctx.Err() != nil:
@@ -81,8 +91,9 @@
 	return v, leader, err
 }
 
-// bindTo records that an endpoint has written the first event of the stream.
-func (ex *exchange) bindTo(build ident.Build, certain bool) {
+// bindTo records that an endpoint of a build has written the first event of the stream. granted is true if the authority chose the
+// endpoint: it knows the build then, unless it chose endpoints of several.
+func (ex *exchange) bindTo(build ident.Build, certain, granted bool) {
 	if ex.bound {
 		return
 	}
@@ -93,8 +104,7 @@
 	ex.Meter.Gauge("shallotgap_resume_records", int64(ex.streams.Len()))
 	ex.Meter.Gauge("shallotgap_resume_records_dropped", int64(ex.streams.Dropped))
 	ex.mu.Unlock()
-	if len(ex.builds) != 1 || !certain {
-		// The leader does not know which of the endpoints has written.
+	if !granted || !certain || len(ex.builds) > 1 {
 		ex.mesh.SendAll(link.Message{Begun: []resume.Record{r}}, func(h link.Hello) bool { return h.Control })
 	}
 }
--- a/io/voter/resume.go
+++ b/io/voter/resume.go
@@ -1,6 +1,7 @@
 package voter
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -34,7 +35,7 @@
 // logBuilds logs a change of the builds of a service. Once there are several, the other control hosts need the records of all streams.
 func (v *Voter) logBuilds(c resume.Command) {
 	builds := v.book.Builds.Of(c.Service)
-	v.Log.WithField("step", "builds").WithField("service", c.Service).WithField("builds", builds).WithField("added", c.Add).WithField("dropped", c.Drop).Info("builds")
+	v.Log.WithField("step", "builds").WithField("service", c.Service).WithField("builds", fmt.Sprint(builds)).WithField("added", fmt.Sprint(c.Add)).WithField("dropped", fmt.Sprint(c.Drop)).Info("builds")
 	v.Meter.Gauge("shallotgap_builds", int64(len(builds)), "service", string(c.Service))
 	if v.leadership != nil && len(c.Add) > 0 && v.book.Builds.Mixed(c.Service) {
 		v.newStreams = v.streams.List(func(r resume.Record) bool { return v.book.Builds.Mixed(r.Service) }, clock.Boot())
@@ -62,13 +63,6 @@
 	v.Meter.Gauge("shallotgap_resume_records_dropped", int64(v.streams.Dropped))
 }
 
-// receiveStreams adds the records of another host. An entry host sends its records to all control hosts by itself.
-func (v *Voter) receiveStreams(_ link.Hello, list []resume.Record, now ident.Time) {
-	for _, r := range list {
-		v.streams.Add(r, now)
-	}
-}
-
 // answerStream answers at which build a stream may go on. A new leader that does not know waits until the entry hosts have sent what
 // they hold.
 func (v *Voter) answerStream(from ident.HostID, c link.Call) {
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -292,7 +292,9 @@
 	case m.Answer != nil:
 		v.Resolve(*m.Answer)
 	case m.Begun != nil:
-		v.receiveStreams(from, m.Begun, now)
+		for _, r := range m.Begun {
+			v.streams.Add(r, now) // the sender sends it to all control hosts
+		}
 	default:
 		v.receiveGrantMessage(from, m, now)
 	}
