--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -134,13 +134,9 @@
 // Do sends a request and returns once the response header has been read. Cancelling the context closes the connection
 // at any time, also while the body is being read.
 func (c *Client) Do(ctx context.Context, r Request) (*Response, error) {
-	cn, err := c.acquire(ctx, r)
+	cn, err := c.acquireGreeted(ctx, r)
 	if err != nil {
-		return nil, &Error{Step: "connect", Peer: r.Address, Err: err}
-	}
-	if err := cn.greet(ctx, r); err != nil {
-		_ = cn.Close()
-		return nil, &Error{Step: "greet", Peer: r.Address, Err: err}
+		return nil, err
 	}
 	resp := &Response{client: c, conn: cn, key: r.Key, written: make(chan error, 1)}
 	resp.stopWatch = context.AfterFunc(ctx, func() { _ = cn.Close() })
@@ -155,8 +151,6 @@
 	return resp, nil
 }
 
-var errNotKept = errors.New("the endpoint does not keep the connection after the greeting")
-
 var errNothingSent = errors.New("no byte of the request was sent")
 
 // exchange writes the request and reads the response header, skipping 1xx responses.
--- a/io/dial/greet.go
+++ b/io/dial/greet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -21,6 +22,27 @@
 	maxGreetingBytes = 1 << 20
 )
 
+var errNotKept = errors.New("the endpoint does not keep the connection after the greeting")
+
+// acquireGreeted returns a connection that has carried the greeting of a request. Endpoints close some connections after a response, so
+// it tries a second one then.
+func (c *Client) acquireGreeted(ctx context.Context, r Request) (*conn, error) {
+	for try := 1; ; try++ {
+		cn, err := c.acquire(ctx, r)
+		if err != nil {
+			return nil, &Error{Step: "connect", Peer: r.Address, Err: err}
+		}
+		err = cn.greet(ctx, r)
+		if err == nil {
+			return cn, nil
+		}
+		_ = cn.Close()
+		if try == 2 || !errors.Is(err, errNotKept) {
+			return nil, &Error{Step: "greet", Peer: r.Address, Err: err}
+		}
+	}
+}
+
 // greet exchanges the greeting of a request, unless the connection has carried one. No byte of the request itself is sent before.
 func (c *conn) greet(ctx context.Context, r Request) error {
 	if r.Greeting == nil || c.greeted {
