Tell the control hosts which build wrote when the granting leader leads no more; verify engines without a leader

Cause: found by reading. A grant of a former leader that arrives late is used, while the next leader has noted its own grant of another build for the same attempt: it would send the rest of the stream there. And without a leader for long, an engine that had started again under its id as another build could go on with a stream that the host had begun itself. Change: a request remembers which leader granted its place; the first event is announced unless that one still leads and granted one build only. More than 1 s without a leader, connections for resumable streams are verified like those between several builds.

--- a/io/front/events.go
+++ b/io/front/events.go
@@ -106,7 +106,7 @@
 		return nil
 	}
 	e.recordArrival(clock.Boot())
-	e.exchange.bindTo(e.grantRequest.place.Build, !e.grantRequest.uncertain, !e.grantRequest.fallback)
+	e.exchange.bindTo(e.grantRequest.place.Build, e.grantRequest.grantedBy)
 	e.grantRequest.promptRead.Store(true)
 	e.grantRequest.wroteFor.Store(int64(e.wrote()))
 	e.reportWritten()
--- a/io/front/grants.go
+++ b/io/front/grants.go
@@ -28,8 +28,8 @@
 	fallbackMaxAge = 30 * time.Second
 	// longWithoutAuthority is the time without an authority, many elections, after which requests no longer wait for one.
 	longWithoutAuthority = 5 * time.Second
-	// certainWithoutAuthority is the time without an authority in which an engine cannot start again under its id and take requests: it
-	// starts empty, and only the next leader may order loads.
+	// certainWithoutAuthority is the time without an authority after which an engine may have started again under its id as another
+	// build, so that its connections are verified.
 	certainWithoutAuthority = time.Second
 	// A grant request without an authority fails after the request's timeout divided by noAuthorityDivisor.
 	noAuthorityDivisor = 3
@@ -40,13 +40,10 @@
 
 // grantRequest is a request that waits for a grant or holds one.
 type grantRequest struct {
-	msg      grant.Ask // the message to the authority
-	openedAt ident.Time
-	place    *grant.Place // the granted engine; nil while waiting
-	// fallback is true for an engine that this host chose without an authority.
-	fallback bool
-	// uncertain is true for an engine that may have started again as another build, which this host has not heard of.
-	uncertain bool
+	msg       grant.Ask // the message to the authority
+	openedAt  ident.Time
+	place     *grant.Place // the granted engine; nil while waiting
+	grantedBy ident.HostID // the leader that granted the engine; empty for one that this host chose without a leader
 	reply     chan grant.Reply
 	// promptRead is true once the first event has arrived: the engine has finished the prefill.
 	promptRead atomic.Bool
@@ -181,7 +178,7 @@
 			f.resendGrantRequest(req)
 			return
 		}
-		req.place = r.Place
+		req.place, req.grantedBy = r.Place, from
 		if len(req.msg.Permit) > 0 {
 			delete(f.grantRequests, r.ID)
 		} else {
@@ -268,13 +265,18 @@
 	if req.msg.Bound && p.Build != req.msg.Build {
 		return grant.Reply{}, false
 	}
-	if wait := f.limits.takeShare(p.Instance, f.entryHosts, clock.Boot()); wait > 0 {
+	now := clock.Boot()
+	_, limited := f.limits.of(p.Instance, now)
+	verify := req.msg.Resumable && f.LeaderlessFor(now) > certainWithoutAuthority
+	if verify && limited && req.msg.Bound {
+		return grant.Reply{}, false // a greeting would exceed the limit
+	}
+	if wait := f.limits.takeShare(p.Instance, f.entryHosts, now); wait > 0 {
 		return grant.Reply{}, false
 	}
 	p.Version = max(p.Version, f.newestVersions[req.msg.Ref])
+	p.Verify = verify && !limited
 	req.place = &p
-	req.fallback = true
-	req.uncertain = f.LeaderlessFor(clock.Boot()) > certainWithoutAuthority
 	return grant.Reply{ID: req.msg.ID, Place: &p}, true
 }
 
--- a/io/front/resume.go
+++ b/io/front/resume.go
@@ -91,20 +91,21 @@
 	return v, leader, err
 }
 
-// bindTo records that an endpoint of a build has written the first event of the stream. granted is true if the authority chose the
-// endpoint: it knows the build then, unless it chose endpoints of several.
-func (ex *exchange) bindTo(build ident.Build, certain, granted bool) {
+// bindTo records that an endpoint of a build has written the first event of the stream. The control hosts are told, unless the leader
+// knows it, as it granted that endpoint and none of another build.
+func (ex *exchange) bindTo(build ident.Build, grantedBy ident.HostID) {
 	if ex.bound {
 		return
 	}
 	ex.bound, ex.build = true, build
-	r := resume.Record{Attempt: resume.Attempt(ex.call.ID), Service: ex.service.Name, Build: build, Wrote: true, Unclear: !certain}
+	r := resume.Record{Attempt: resume.Attempt(ex.call.ID), Service: ex.service.Name, Build: build, Wrote: true}
 	ex.mu.Lock()
 	ex.streams.Add(r, clock.Boot())
 	ex.Meter.Gauge("shallotgap_resume_records", int64(ex.streams.Len()))
 	ex.Meter.Gauge("shallotgap_resume_records_dropped", int64(ex.streams.Dropped))
+	leaderKnows := grantedBy != "" && grantedBy == ex.leader && len(ex.builds) == 1
 	ex.mu.Unlock()
-	if !granted || !certain || len(ex.builds) > 1 {
+	if !leaderKnows {
 		ex.mesh.SendAll(link.Message{Begun: []resume.Record{r}}, func(h link.Hello) bool { return h.Control })
 	}
 }
