Verify engines without a leader for streams that go on only

Cause: had all resumable streams verified then, also those that begin. Change: a new stream goes to the engine unverified, as before, and its record says that the build is not sure, so that it goes on nowhere; a stream that goes on is verified.

--- a/io/front/events.go
+++ b/io/front/events.go
@@ -106,7 +106,7 @@
 		return nil
 	}
 	e.recordArrival(clock.Boot())
-	e.exchange.bindTo(e.grantRequest.place.Build, e.grantRequest.grantedBy)
+	e.exchange.bindTo(e.grantRequest.place.Build, e.grantRequest.grantedBy, !e.grantRequest.uncertain)
 	e.grantRequest.promptRead.Store(true)
 	e.grantRequest.wroteFor.Store(int64(e.wrote()))
 	e.reportWritten()
--- a/io/front/grants.go
+++ b/io/front/grants.go
@@ -29,7 +29,7 @@
 	// longWithoutAuthority is the time without an authority, many elections, after which requests no longer wait for one.
 	longWithoutAuthority = 5 * time.Second
 	// certainWithoutAuthority is the time without an authority after which an engine may have started again under its id as another
-	// build, so that its connections are verified.
+	// build. A stream that has begun goes on at a verified connection only then; where a new one begins is not sure.
 	certainWithoutAuthority = time.Second
 	// A grant request without an authority fails after the request's timeout divided by noAuthorityDivisor.
 	noAuthorityDivisor = 3
@@ -44,6 +44,8 @@
 	openedAt  ident.Time
 	place     *grant.Place // the granted engine; nil while waiting
 	grantedBy ident.HostID // the leader that granted the engine; empty for one that this host chose without a leader
+	// uncertain is true for an engine that may have started again as another build and was not verified.
+	uncertain bool
 	reply     chan grant.Reply
 	// promptRead is true once the first event has arrived: the engine has finished the prefill.
 	promptRead atomic.Bool
@@ -267,15 +269,16 @@
 	}
 	now := clock.Boot()
 	_, limited := f.limits.of(p.Instance, now)
-	verify := req.msg.Resumable && f.LeaderlessFor(now) > certainWithoutAuthority
-	if verify && limited && req.msg.Bound {
+	uncertain := f.LeaderlessFor(now) > certainWithoutAuthority
+	if uncertain && limited && req.msg.Bound {
 		return grant.Reply{}, false // a greeting would exceed the limit
 	}
 	if wait := f.limits.takeShare(p.Instance, f.entryHosts, now); wait > 0 {
 		return grant.Reply{}, false
 	}
 	p.Version = max(p.Version, f.newestVersions[req.msg.Ref])
-	p.Verify = verify && !limited
+	p.Verify = uncertain && req.msg.Bound
+	req.uncertain = uncertain && !p.Verify
 	req.place = &p
 	return grant.Reply{ID: req.msg.ID, Place: &p}, true
 }
--- a/io/front/plain.go
+++ b/io/front/plain.go
@@ -168,7 +168,7 @@
 	}
 	ex.recordSound()
 	if ex.route.Kind == layout.Stream && resp.StatusCode/100 == http.StatusOK/100 {
-		ex.bindTo(e.Build, "")
+		ex.bindTo(e.Build, "", true)
 	}
 	ex.forwardResponse(resp, body)
 	ex.Meter.ObserveDuration("shallotgap_plain_seconds", clock.Boot().Sub(sentAt))
--- a/io/front/resume.go
+++ b/io/front/resume.go
@@ -92,13 +92,13 @@
 }
 
 // bindTo records that an endpoint of a build has written the first event of the stream. The control hosts are told, unless the leader
-// knows it, as it granted that endpoint and none of another build.
-func (ex *exchange) bindTo(build ident.Build, grantedBy ident.HostID) {
+// knows it, as it granted that endpoint and none of another build. certain is false if the endpoint may run another build by now.
+func (ex *exchange) bindTo(build ident.Build, grantedBy ident.HostID, certain bool) {
 	if ex.bound {
 		return
 	}
 	ex.bound, ex.build = true, build
-	r := resume.Record{Attempt: resume.Attempt(ex.call.ID), Service: ex.service.Name, Build: build, Wrote: true}
+	r := resume.Record{Attempt: resume.Attempt(ex.call.ID), Service: ex.service.Name, Build: build, Wrote: true, Unclear: !certain}
 	ex.mu.Lock()
 	ex.streams.Add(r, clock.Boot())
 	ex.Meter.Gauge("shallotgap_resume_records", int64(ex.streams.Len()))
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -59,6 +59,9 @@
 		case result == sendDone:
 			return
 		case result == sendNotRun && ctx.Err() == nil:
+		case result == sendBroken && ex.bound && req.uncertain:
+			ex.fail(string(grant.VersionUnknown), 0)
+			return
 		case result == sendBroken && !lastAttempt && ctx.Err() == nil:
 			runs++
 			a.Avoid = append(a.Avoid, req.place.Instance.ID)
