Send the records of streams to a control host that has just started

Cause: records were mirrored to the other control hosts when they were made; a host that started later got none, and could lead next. Evidence: a new case of TestStreamOutlivesItsHosts, in which both followers start again before the leader and the entry host are lost, fails without the change and passes with it. Change: a control host sends what it holds for services with several builds to each control host that links to it.

--- a/io/voter/resume.go
+++ b/io/voter/resume.go
@@ -63,6 +63,13 @@
 	v.Meter.Gauge("shallotgap_resume_records_dropped", int64(v.streams.Dropped))
 }
 
+// sendStreams sends a newly linked control host, which may have just started, the records that services with several builds need.
+func (v *Voter) sendStreams(to ident.HostID) {
+	if list := v.streams.List(func(r resume.Record) bool { return v.book.Builds.Mixed(r.Service) }, clock.Boot()); len(list) > 0 {
+		v.mesh.Send(to, link.Message{Begun: list})
+	}
+}
+
 // answerStream answers at which build a stream may go on. A new leader that does not know waits until the entry hosts have sent what
 // they hold.
 func (v *Voter) answerStream(from ident.HostID, c link.Call) {
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -307,6 +307,7 @@
 			v.node.Domains[peer.Host] = peer.Domain
 			v.linkedControlHosts[peer.Host] = struct{}{}
 			v.addControlHosts([]ident.HostID{peer.Host})
+			v.sendStreams(peer.Host)
 			v.hasLegacyPeers = v.hasLegacyPeers || !peer.ShortHeartbeats
 		} else if peer.Address != "" {
 			v.dropContact(peer.Address)
