--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -72,8 +72,18 @@
 // Unwrap returns the underlying error.
 func (e *Error) Unwrap() error { return e.Err }
 
+// Opener opens a connection to an endpoint.
+type Opener func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Config holds the settings of a client.
+type Config struct {
+	// Open opens connections; nil for TCP with the timeouts of this package. It is a setting so that tests can cut paths.
+	Open Opener
+}
+
 // Client sends requests and pools idle connections.
 type Client struct {
+	Config
 	mu             sync.Mutex
 	idle           map[string][]*conn
 	sweptAt        ident.Time
@@ -81,7 +91,25 @@
 }
 
 // New returns a client without open connections.
-func New() *Client { return &Client{idle: map[string][]*conn{}} }
+func New(c Config) *Client {
+	if c.Open == nil {
+		c.Open = openTCP
+	}
+	return &Client{Config: c, idle: map[string][]*conn{}}
+}
+
+// openTCP opens a connection that breaks when the peer acknowledges no data for tcpUserTimeout.
+func openTCP(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{KeepAlive: tcpUserTimeout, Control: setUserTimeout}
+	return d.DialContext(ctx, network, address)
+}
+
+// Connect opens a connection to an endpoint, within a timeout.
+func (c *Client) Connect(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return c.Open(ctx, "tcp", address)
+}
 
 // Counts returns the number of connections opened and of idle connections taken from the pool, since the start.
 func (c *Client) Counts() (opened, reused int64) {
@@ -273,8 +301,7 @@
 		}
 		return cn, nil
 	}
-	d := net.Dialer{Timeout: connectTimeout, KeepAlive: tcpUserTimeout, Control: setUserTimeout}
-	raw, err := d.DialContext(ctx, "tcp", r.Address)
+	raw, err := c.Connect(ctx, r.Address, connectTimeout)
 	if err != nil {
 		return nil, err
 	}
--- a/io/dial/dial_test.go
+++ b/io/dial/dial_test.go
@@ -74,7 +74,7 @@
 		}
 		_ = c.Close()
 	})
-	c := dial.New()
+	c := dial.New(dial.Config{})
 	_, err := exchange(t, c, address)
 	assert.NilError(t, err)
 	_, err = exchange(t, c, address)
@@ -91,7 +91,7 @@
 	assert.NilError(t, err)
 	address := l.Addr().String()
 	assert.NilError(t, l.Close())
-	_, err = exchange(t, dial.New(), address)
+	_, err = exchange(t, dial.New(dial.Config{}), address)
 	var failed *dial.Error
 	assert.Assert(t, errors.As(err, &failed) && !failed.Sent, "%v", err)
 }
@@ -111,7 +111,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			address, _ := serve(t, func(conn net.Conn, _ *bufio.Reader, _ int32) { _, _ = io.WriteString(conn, c.response) })
-			client := dial.New()
+			client := dial.New(dial.Config{})
 			for range 2 {
 				body, err := exchange(t, client, address)
 				assert.NilError(t, err)
@@ -133,7 +133,7 @@
 			_, _ = io.WriteString(c, okResponse)
 		}
 	})
-	c := dial.New()
+	c := dial.New(dial.Config{})
 	_, err := exchange(t, c, address)
 	assert.NilError(t, err)
 	close(sendExtra)
@@ -157,6 +157,6 @@
 		cancel()
 		_, _ = r.ReadByte()
 	})
-	_, err := dial.New().Do(ctx, request(address))
+	_, err := dial.New(dial.Config{}).Do(ctx, request(address))
 	assert.ErrorIs(t, err, context.Canceled)
 }
--- a/io/dial/endless_test.go
+++ b/io/dial/endless_test.go
@@ -40,7 +40,7 @@
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
 			start := time.Now()
-			_, err := exchange(t, dial.New(), address)
+			_, err := exchange(t, dial.New(dial.Config{}), address)
 			took := time.Since(start)
 			runtime.ReadMemStats(&after)
 			assert.Assert(t, err != nil)
--- a/io/dial/greet_test.go
+++ b/io/dial/greet_test.go
@@ -44,7 +44,7 @@
 				}
 				_, _ = fmt.Fprint(conn, okResponse)
 			})
-			client := dial.New()
+			client := dial.New(dial.Config{})
 			r := request(address)
 			r.Greeting = &dial.Greeting{Target: "/hello", Check: func(status int, body []byte) error {
 				if status != http.StatusOK || string(body) != "ok" {
--- a/io/front/crash.go
+++ b/io/front/crash.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"syscall"
 	"time"
 
@@ -67,8 +66,7 @@
 	if known && (e.Instance != i || e.State != census.Ready) {
 		return
 	}
-	d := net.Dialer{Timeout: crashProbeTimeout}
-	c, err := d.DialContext(ctx, "tcp", address)
+	c, err := ex.client.Connect(ctx, address, crashProbeTimeout)
 	if err == nil {
 		_ = c.Close()
 	}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -106,6 +106,8 @@
 	LinkAddress ident.HostID
 	// Network opens the host's links; nil for a link.Mesh.
 	Network link.Opener
+	// OpenEndpoint opens connections to endpoints; nil for TCP.
+	OpenEndpoint dial.Opener
 	// Address is the address for callers that this host announces.
 	Address string
 	Dialect Dialect
@@ -172,7 +174,7 @@
 // New returns an entry host; Run starts it.
 func New(common logs.Common, meter *metric.Meter, c Config) *Front {
 	f := &Front{
-		Common: common, Config: c, Meter: meter, client: dial.New(), layoutLoaded: make(chan struct{}), census: census.NewFollower(), poison: poison.NewTable(), written: poison.NewWritten(), evidence: poison.NewEvidence(), picker: pick.New(c.Domain),
+		Common: common, Config: c, Meter: meter, client: dial.New(dial.Config{Open: c.OpenEndpoint}), layoutLoaded: make(chan struct{}), census: census.NewFollower(), poison: poison.NewTable(), written: poison.NewWritten(), evidence: poison.NewEvidence(), picker: pick.New(c.Domain),
 		limits: newHostLimits(), permitTimes: map[ident.Service]permitTimes{}, newestVersions: map[book.AdapterRef]book.WeightsVersion{}, controlStatus: map[ident.HostID]link.Status{}, grantRequests: map[grant.ID]*grantRequest{},
 		lastServed: map[book.AdapterRef]servedPlace{}, retryBudgets: map[ident.Service]*grant.Budget{}, sendCounts: map[ident.Service]*grant.Budget{}, streams: resume.NewTable(resume.LifeOf(nil), resume.Capacity), startedAt: clock.Boot(), entryHosts: 1,
 	}
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -21,6 +21,7 @@
 	"shallotgap/core/layout"
 	"shallotgap/core/limit"
 	"shallotgap/core/poison"
+	"shallotgap/io/dial"
 	"shallotgap/io/front"
 	"shallotgap/io/logs"
 	"shallotgap/io/metric"
@@ -30,7 +31,9 @@
 // Edge provides the HTTP interfaces of a platform to callers, operators and endpoints.
 type Edge struct {
 	Dialect front.Dialect
-	Engines func(common logs.Common, holder string) voter.Engines
+	Engines func(common logs.Common, holder string, open dial.Opener) voter.Engines
+	// OpenEndpoint opens connections to endpoints; nil for TCP.
+	OpenEndpoint dial.Opener
 	// Control handles the calls of operators and endpoints. Directory returns entry host addresses to callers, which may
 	// cache them for ttl.
 	Control   func(common logs.Common, c Controller) http.Handler
@@ -167,7 +170,7 @@
 	grantParams.HeartbeatLag = h.HeartbeatInterval + 800*time.Millisecond       // one heartbeat interval and the age of its adapter list
 	v, err := voter.New(h.Common, h.meter, voter.Config{
 		Self: ident.HostID(h.Links), Domain: h.Domain, Seeds: h.Seeds, Bootstrap: h.Bootstrap, TargetVoters: h.Voters, Folder: h.Folder,
-		OrderPause: h.OrderPause, GrantParams: grantParams, Listener: links, Engines: h.edge.Engines(h.Common, h.Name), RandomSeed: uint64(time.Now().UnixNano()),
+		OrderPause: h.OrderPause, GrantParams: grantParams, Listener: links, Engines: h.edge.Engines(h.Common, h.Name, h.edge.OpenEndpoint), RandomSeed: uint64(time.Now().UnixNano()),
 	})
 	if err != nil {
 		return err
@@ -208,7 +211,7 @@
 
 func (h *host) startEntryHost(ctx context.Context) error {
 	c := front.Config{
-		Self: ident.HostID(h.Name), Domain: h.Domain, Seeds: h.Seeds, Address: string(h.Callers), Dialect: h.edge.Dialect,
+		Self: ident.HostID(h.Name), Domain: h.Domain, Seeds: h.Seeds, Address: string(h.Callers), Dialect: h.edge.Dialect, OpenEndpoint: h.edge.OpenEndpoint,
 		RetryRatio: h.RetryRatio, RetryExtra: int(float64(h.RetryExtra) * serviceRetryShare), RetryWindow: h.RetryWindow,
 	}
 	servesControl := h.Control != "" && h.voter == nil // else the control host in this process serves it
