Send to endpoints by any living path; keep failures of a path at its pair of host and endpoint

Cause: a send had one way, directly, and its failure was held against the endpoint: places, repeated sends and marks were spent for all hosts. Class: knowledge of a pair kept for one of its sides. Change: core/reach decides by evidence to which endpoints a host has a path, io/reach sends directly or through another host. Requests, streams, resumed ones, greetings, reports, probes and checks for crashes go through it. Hosts tell their faults with their presence and get relays; addresses for callers leave cut-off hosts out while enough others are left. A refused connection shows a crash only if the refused host reaches another endpoint. A host that could ask nobody marks an engine for itself only. A leader without a path has a deputy send its orders, with a fencing token of its own, since endpoints know a holder by its machine.

--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -304,9 +304,14 @@
 		t.learnLateShare(r.ask, end.Gap)
 		e.failures.record(false, now)
 		e.failures.isUnreachable = false
+		delete(e.failures.unreachableFrom, r.ask.Host)
 	case Failed:
 		e.failures.record(true, now)
 	case Unreachable:
+		if end.Alone {
+			e.failures.recordUnreachableFrom(r.ask.Host, now)
+			break
+		}
 		e.failures.record(true, now)
 		e.failures.recordUnreachable(now)
 	case NotRun:
--- a/core/grant/grant.go
+++ b/core/grant/grant.go
@@ -121,6 +121,8 @@
 type End struct {
 	ID      ID      `json:"id"`
 	Outcome Outcome `json:"outcome"`
+	// Alone is true for an endpoint that is unreachable from the sender, which could ask no other host: it may be a matter of the path.
+	Alone bool `json:"alone,omitempty"`
 	// First is the time from sending the request to its first event; 0 when no event arrived.
 	First time.Duration `json:"first,omitempty"`
 	// Gap is the longest pause between two events.
--- a/core/grant/memory.go
+++ b/core/grant/memory.go
@@ -116,6 +116,8 @@
 	// unreachableAt is when a connection was last refused or timed out.
 	unreachableAt ident.Time
 	isUnreachable bool // set by a failed connection, cleared by a complete answer
+	// unreachableFrom holds when the engine was last unreachable from one host only, which may have lost its path.
+	unreachableFrom map[ident.HostID]ident.Time
 }
 
 // Constants of the failure estimate.
@@ -141,7 +143,21 @@
 	f.isUnreachable, f.unreachableAt = true, now
 }
 
-// recentlyUnreachable reports whether a connection failed within unreachableBackoff.
-func (f *failureEstimate) recentlyUnreachable(now ident.Time) bool {
-	return f.isUnreachable && now.Sub(f.unreachableAt) < unreachableBackoff
+// recordUnreachableFrom records that a host could not reach the engine, and could not find out whether others do.
+func (f *failureEstimate) recordUnreachableFrom(host ident.HostID, now ident.Time) {
+	if f.unreachableFrom == nil {
+		f.unreachableFrom = map[ident.HostID]ident.Time{}
+	}
+	for h, at := range f.unreachableFrom {
+		if now.Sub(at) >= unreachableBackoff {
+			delete(f.unreachableFrom, h)
+		}
+	}
+	f.unreachableFrom[host] = now
+}
+
+// recentlyUnreachable reports whether a connection failed within unreachableBackoff, from any host or from the given one only.
+func (f *failureEstimate) recentlyUnreachable(from ident.HostID, now ident.Time) bool {
+	at, known := f.unreachableFrom[from]
+	return (f.isUnreachable && now.Sub(f.unreachableAt) < unreachableBackoff) || (known && now.Sub(at) < unreachableBackoff)
 }
--- a/core/grant/models.go
+++ b/core/grant/models.go
@@ -91,7 +91,7 @@
 	engines, slots, running := 0, 0, 0
 	var tokens ident.Tokens
 	for _, e := range t.engines {
-		if e.entry.Service != s.Name || len(e.entry.Models) == 0 || !e.usable(now, t.Params) || e.failures.recentlyUnreachable(now) {
+		if e.entry.Service != s.Name || len(e.entry.Models) == 0 || !e.usable(now, t.Params) || e.failures.recentlyUnreachable("", now) {
 			continue
 		}
 		engines++
--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -196,7 +196,7 @@
 		if !t.mayWrite(e, w.ask, now) || e.entry.Service != w.ask.Service || !e.usable(now, t.Params) || !e.holdsModel(w.ask.Ref.Model) || slices.Contains(w.ask.Avoid, e.entry.Instance.ID) {
 			continue
 		}
-		if e.failures.recentlyUnreachable(now) || (len(w.suspects) > 0 && e.runsSuspect()) {
+		if e.failures.recentlyUnreachable(w.ask.Host, now) || (len(w.suspects) > 0 && e.runsSuspect()) {
 			continue
 		}
 		unlimited = unlimited || !t.limits.Limited(e.entry.Instance)
--- /dev/null
+++ b/core/reach/holder.go
@@ -0,0 +1,98 @@
+package reach
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"shallotgap/core/ident"
+)
+
+// Holder is the machine that sends orders to an engine, with its fencing token.
+type Holder struct {
+	Fence ident.Fence
+	// Deputy is the relay that sends for the leader; empty for the leader itself.
+	Deputy ident.HostID
+}
+
+// deputyBits is the number of low bits of a fencing token that count the holders of an engine within a term.
+const deputyBits = 8
+
+// holding is who sends the orders to an engine.
+type holding struct {
+	deputy ident.HostID
+	number ident.Fence
+	// lastBy holds the latest order of each machine that has sent some; the leader's name is empty.
+	lastBy map[ident.HostID]ident.Time
+}
+
+// Holders decides which machine sends the orders to each engine within a term of the leader. An engine knows a holder by the machine, so a
+// deputy has a fencing token of its own, and a machine does not take over again within Pause of its latest order.
+type Holders struct {
+	Term ident.Term
+	// Pause is the time within which orders of two machines to one engine must not alternate.
+	Pause    time.Duration
+	holdings map[ident.Instance]*holding
+}
+
+// NewHolders returns holders for a term in which no order was sent.
+func NewHolders(term ident.Term, pause time.Duration) *Holders {
+	return &Holders{Term: term, Pause: pause, holdings: map[ident.Instance]*holding{}}
+}
+
+// Choose returns the holder for an order to an engine, and false if none may send one now. direct tells whether the leader has a path, relays
+// are the hosts that have one.
+func (h *Holders) Choose(i ident.Instance, direct bool, relays []Relay, now ident.Time) (Holder, bool) {
+	g := h.holdings[i]
+	if g == nil {
+		g = &holding{lastBy: map[ident.HostID]ident.Time{}}
+		h.holdings[i] = g
+	}
+	if !g.usable(direct, relays) && !h.replace(g, direct, relays, now) {
+		return Holder{}, false
+	}
+	g.lastBy[g.deputy] = now
+	return Holder{Fence: ident.Fence(h.Term)<<deputyBits + g.number, Deputy: g.deputy}, true
+}
+
+// usable reports whether the present holder has a path. A deputy goes on after the leader's path is back, as holders must not alternate.
+func (g *holding) usable(direct bool, relays []Relay) bool {
+	if g.deputy == "" {
+		return direct
+	}
+	return slices.ContainsFunc(relays, func(r Relay) bool { return r.Host == g.deputy })
+}
+
+// HasDeputy reports whether a relay sends the orders to an engine.
+func (h *Holders) HasDeputy(i ident.Instance) bool {
+	g := h.holdings[i]
+	return g != nil && g.deputy != ""
+}
+
+// replace chooses another holder: the leader if it has a path, else a relay.
+func (h *Holders) replace(g *holding, direct bool, relays []Relay, now ident.Time) bool {
+	if g.number+1 >= 1<<deputyBits {
+		return false
+	}
+	var options []ident.HostID
+	if direct && g.deputy != "" {
+		options = append(options, "")
+	}
+	for _, r := range relays {
+		options = append(options, r.Host)
+	}
+	for _, o := range options {
+		if last, sent := g.lastBy[o]; o == g.deputy || (sent && now.Sub(last) < h.Pause) {
+			continue
+		}
+		g.deputy = o
+		g.number++
+		return true
+	}
+	return false
+}
+
+// Keep drops the engines for which known reports false.
+func (h *Holders) Keep(known func(ident.Instance) bool) {
+	maps.DeleteFunc(h.holdings, func(i ident.Instance, _ *holding) bool { return !known(i) })
+}
--- /dev/null
+++ b/core/reach/reach.go
@@ -0,0 +1,290 @@
+// Package reach decides to which endpoints a host has a path, from the outcomes of its own connections. A path belongs to a pair of a
+// host and an endpoint: that one host can't connect to an endpoint says nothing about the others.
+package reach
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"shallotgap/core/ident"
+)
+
+// Target is an endpoint with its address.
+type Target struct {
+	Instance ident.Instance
+	Service  ident.Service
+	Address  string
+}
+
+// Faults are the paths that a host has lost. They grow with the faults, not with the number of endpoints: a service none of whose
+// endpoints is reached is named once.
+type Faults struct {
+	Services  []ident.Service  `json:"services,omitempty"`
+	Endpoints []ident.Instance `json:"endpoints,omitempty"`
+}
+
+// Empty reports whether no path is lost.
+func (f Faults) Empty() bool { return len(f.Services)+len(f.Endpoints) == 0 }
+
+// Lacks reports whether the host has no path to an endpoint.
+func (f Faults) Lacks(i ident.Instance, s ident.Service) bool {
+	return slices.Contains(f.Services, s) || slices.Contains(f.Endpoints, i)
+}
+
+// Times and limits of a map.
+const (
+	// lostEndpoints is the number of endpoints of a service that must fail in a row, with no success at another one, before the host
+	// counts as cut off from the service. One endpoint may have crashed or be silent for a moment.
+	lostEndpoints = 2
+	// probeInterval is the pause between probes of a service, retryInterval that between probes of a single endpoint.
+	probeInterval = 300 * time.Millisecond
+	retryInterval = time.Second
+	// suspectPause is the time after a success or a probe within which an endpoint is not probed for a mere suspicion.
+	suspectPause = 300 * time.Millisecond
+	// maxProbes is the number of probes of single endpoints at a time, as new connections cost the endpoints something.
+	maxProbes = 4
+	// probeLimit is the time after which a probe without a result counts as ended.
+	probeLimit = 2 * time.Second
+	// retention is how long an endpoint that is not used is remembered.
+	retention = time.Minute
+	// maxFaults is the number of lost endpoints that a host names.
+	maxFaults = 256
+)
+
+// path is what a host knows of its path to an endpoint.
+type path struct {
+	Target
+	lost      bool
+	suspected bool       // something that was sent got no answer in time
+	reachedAt ident.Time // latest success
+	triedAt   ident.Time // latest probe
+	probing   bool
+	usedAt    ident.Time
+}
+
+// service is what a host knows of its paths to the endpoints of a service.
+type service struct {
+	failed   map[ident.Instance]struct{} // endpoints that failed since the latest success at any endpoint
+	lost     bool
+	probedAt ident.Time
+}
+
+// Map holds the paths of one host.
+type Map struct {
+	paths    map[ident.Instance]*path
+	services map[ident.Service]*service
+	// doubtful is true while a path or a service may be lost, so that there is something to probe.
+	doubtful bool
+}
+
+// New returns a map without lost paths.
+func New() *Map {
+	return &Map{paths: map[ident.Instance]*path{}, services: map[ident.Service]*service{}}
+}
+
+func (m *Map) pathOf(t Target, now ident.Time) *path {
+	p := m.paths[t.Instance]
+	if p == nil {
+		p = &path{Target: t}
+		m.paths[t.Instance] = p
+	}
+	p.usedAt = now
+	return p
+}
+
+func (m *Map) serviceOf(s ident.Service) *service {
+	v := m.services[s]
+	if v == nil {
+		v = &service{failed: map[ident.Instance]struct{}{}}
+		m.services[s] = v
+	}
+	return v
+}
+
+// Succeed records that an endpoint was reached. It reports whether a path had been lost.
+func (m *Map) Succeed(t Target, now ident.Time) bool {
+	p, v := m.pathOf(t, now), m.serviceOf(t.Service)
+	healed := p.lost || v.lost
+	p.lost, p.suspected, p.probing, p.reachedAt = false, false, false, now
+	clear(v.failed)
+	if v.lost {
+		// What cut the host off from the whole service is over. A single path that is still cut is lost again by its next failure.
+		v.lost = false
+		for _, other := range m.paths {
+			if other.Service == t.Service {
+				other.lost = false
+			}
+		}
+	}
+	return healed
+}
+
+// Fail records that no connection to an endpoint could be made. It reports whether that is news.
+func (m *Map) Fail(t Target, now ident.Time) bool {
+	p, v := m.pathOf(t, now), m.serviceOf(t.Service)
+	news := !p.lost
+	p.lost, p.suspected, p.probing, p.triedAt, m.doubtful = true, false, false, now, true
+	v.failed[t.Instance] = struct{}{}
+	if !v.lost && len(v.failed) >= lostEndpoints {
+		v.lost, v.probedAt = true, now
+		news = true
+		m.suspectOthers(t.Service)
+	}
+	return news
+}
+
+// suspectOthers suspects the paths to endpoints of other services, as one cut mostly takes all of them.
+func (m *Map) suspectOthers(lost ident.Service) {
+	counts := map[ident.Service]int{}
+	for _, p := range m.sorted() {
+		if p.Service != lost && !p.lost && counts[p.Service] < lostEndpoints {
+			counts[p.Service]++
+			p.suspected = true
+		}
+	}
+}
+
+// Learn records that an endpoint exists, so that it is probed while its service is lost.
+func (m *Map) Learn(t Target, now ident.Time) { m.pathOf(t, now) }
+
+// Gone records that other hosts could not connect to an endpoint either, so that it is not a matter of the path.
+func (m *Map) Gone(t Target, now ident.Time) {
+	p, v := m.pathOf(t, now), m.serviceOf(t.Service)
+	p.lost = false
+	delete(v.failed, t.Instance)
+	v.lost = v.lost && len(v.failed) >= lostEndpoints
+}
+
+// Suspect records that an endpoint left something that was sent to it unanswered, or that its connection broke.
+func (m *Map) Suspect(t Target, now ident.Time) {
+	p := m.pathOf(t, now)
+	if !p.lost && now.Sub(max(p.reachedAt, p.triedAt)) >= suspectPause {
+		p.suspected, m.doubtful = true, true
+	}
+}
+
+// Direct reports whether the host should connect to an endpoint by itself. hasOthers tells that another host could send for it.
+func (m *Map) Direct(t Target, hasOthers bool) bool {
+	if v := m.services[t.Service]; hasOthers && v != nil && v.lost {
+		return false
+	}
+	p := m.paths[t.Instance]
+	return p == nil || !p.lost
+}
+
+// CutOff reports whether the host has lost its paths to all endpoints of a service.
+func (m *Map) CutOff(s ident.Service) bool {
+	v := m.services[s]
+	return v != nil && v.lost
+}
+
+// Others returns some endpoints of any service to which no connection has failed, those that were reached last.
+func (m *Map) Others(t Target) []Target {
+	list := slices.DeleteFunc(m.sorted(), func(p *path) bool { return p.Instance == t.Instance || p.lost })
+	slices.SortStableFunc(list, func(a, b *path) int { return cmp.Compare(b.reachedAt, a.reachedAt) })
+	var targets []Target
+	for _, p := range list[:min(len(list), maxOthers)] {
+		targets = append(targets, p.Target)
+	}
+	return targets
+}
+
+// maxOthers is the number of endpoints that show whether this host has any path. Some of them may have ended, too.
+const maxOthers = 6
+
+// Faults returns the paths that are lost, in order.
+func (m *Map) Faults() Faults {
+	var f Faults
+	for s, v := range m.services {
+		if v.lost {
+			f.Services = append(f.Services, s)
+		}
+	}
+	slices.Sort(f.Services)
+	for _, p := range m.sorted() {
+		if p.lost && !m.CutOff(p.Service) && len(f.Endpoints) < maxFaults {
+			f.Endpoints = append(f.Endpoints, p.Instance)
+		}
+	}
+	return f
+}
+
+// Due returns the endpoints to probe now with a new connection each. The outcome is recorded by Succeed or Fail.
+func (m *Map) Due(now ident.Time) []Target {
+	if !m.doubtful {
+		return nil
+	}
+	var list []Target
+	singles := 0
+	paths := m.sorted()
+	m.doubtful = false
+	for _, p := range paths {
+		if p.probing && now.Sub(p.triedAt) > probeLimit {
+			p.probing = false
+		}
+		if p.probing {
+			singles++
+		}
+		m.doubtful = m.doubtful || p.probing || p.lost || p.suspected || m.CutOff(p.Service)
+	}
+	for _, p := range paths {
+		v := m.serviceOf(p.Service)
+		switch {
+		case p.probing:
+			continue
+		case v.lost:
+			if now.Sub(v.probedAt) < probeInterval || m.probesSooner(p) {
+				continue
+			}
+			v.probedAt = now
+		case singles >= maxProbes, !p.suspected && (!p.lost || now.Sub(p.triedAt) < retryInterval):
+			continue
+		default:
+			singles++
+		}
+		p.probing, p.suspected, p.triedAt = true, false, now
+		list = append(list, p.Target)
+	}
+	return list
+}
+
+// probesSooner reports whether another endpoint of the same service was not probed for longer.
+func (m *Map) probesSooner(p *path) bool {
+	for _, other := range m.paths {
+		if other.Service == p.Service && !other.probing && other.triedAt < p.triedAt {
+			return true
+		}
+	}
+	return false
+}
+
+// Forget drops endpoints that have not been used for long.
+func (m *Map) Forget(now ident.Time) {
+	for i, p := range m.paths {
+		if now.Sub(p.usedAt) > retention {
+			delete(m.paths, i)
+			if v := m.services[p.Service]; v != nil {
+				delete(v.failed, i)
+			}
+		}
+	}
+	for s, v := range m.services {
+		v.lost = v.lost && len(v.failed) > 0
+		if !v.lost && len(v.failed) == 0 {
+			delete(m.services, s)
+		}
+	}
+}
+
+// sorted returns the paths in order, so that equal inputs lead to equal decisions.
+func (m *Map) sorted() []*path {
+	list := make([]*path, 0, len(m.paths))
+	for _, p := range m.paths {
+		list = append(list, p)
+	}
+	slices.SortFunc(list, func(a, b *path) int {
+		return cmp.Or(cmp.Compare(a.Instance.ID, b.Instance.ID), cmp.Compare(a.Instance.Born, b.Instance.Born))
+	})
+	return list
+}
--- /dev/null
+++ b/core/reach/relay_test.go
@@ -0,0 +1,110 @@
+package reach
+
+import (
+	"cmp"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shallotgap/core/ident"
+)
+
+func relay(name, domain string, services ...ident.Service) Relay {
+	return Relay{Host: ident.HostID(name), Domain: ident.DomainID(domain), Without: Faults{Services: services}}
+}
+
+func byName(r Relay) uint64 { return uint64(r.Host[len(r.Host)-1]) }
+
+// Relays are hosts that have the paths that are missing, near ones first.
+func TestChooseRelays(t *testing.T) {
+	one := target("a", 1).Instance
+	for name, c := range map[string]struct {
+		list []Relay
+		lost Faults
+		want string
+	}{
+		"none":                       {nil, Faults{Services: []ident.Service{"a"}}, "[]"},
+		"near ones first":            {[]Relay{relay("h1", "far"), relay("h2", "near"), relay("h3", "near")}, Faults{Services: []ident.Service{"a"}}, "[h2 h3 h1]"},
+		"those without a path left":  {[]Relay{relay("h1", "near", "a"), relay("h2", "far")}, Faults{Services: []ident.Service{"a"}}, "[h2]"},
+		"one path of two":            {[]Relay{relay("h1", "near", "a"), relay("h2", "far")}, Faults{Services: []ident.Service{"a", "b"}}, "[h2 h1]"},
+		"a single endpoint":          {[]Relay{{Host: "h1", Without: Faults{Endpoints: []ident.Instance{one}}}, relay("h2", "far")}, Faults{Endpoints: []ident.Instance{one}}, "[h2]"},
+		"nothing lost":               {[]Relay{relay("h1", "near")}, Faults{}, "[h1]"},
+		"more than a host needs":     {[]Relay{relay("h1", "n"), relay("h2", "n"), relay("h3", "n"), relay("h4", "n"), relay("h5", "n"), relay("h6", "n"), relay("h7", "n"), relay("h8", "n"), relay("h9", "n")}, Faults{}, "[h1 h2 h3 h4 h5 h6 h7 h8]"},
+		"all of them without a path": {[]Relay{relay("h1", "near", "a"), relay("h2", "far", "a")}, Faults{Services: []ident.Service{"a"}}, "[]"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			names := []ident.HostID{}
+			for _, r := range ChooseRelays(c.list, c.lost, "near", byName) {
+				names = append(names, r.Host)
+			}
+			assert.Equal(t, fmt.Sprint(names), c.want)
+		})
+	}
+}
+
+// Sends are spread over the relays; one that failed is left out for a while.
+func TestRelaysAreSpread(t *testing.T) {
+	r := NewRelays()
+	r.Set([]Relay{relay("h1", ""), relay("h2", ""), relay("h3", "", "a")})
+	now := ident.Time(time.Hour)
+	counts := map[ident.HostID]int{}
+	for range 10 {
+		x, found := r.Take(target("a", 1), nil, now)
+		assert.Assert(t, found)
+		counts[x.Host]++
+	}
+	assert.DeepEqual(t, counts, map[ident.HostID]int{"h1": 5, "h2": 5})
+	r.End("h1", true, now)
+	for range 5 {
+		x, _ := r.Take(target("a", 1), nil, now)
+		assert.Equal(t, x.Host, ident.HostID("h2"))
+	}
+	_, found := r.Take(target("a", 1), []ident.HostID{"h2"}, now)
+	assert.Assert(t, !found)
+	x, found := r.Take(target("a", 1), []ident.HostID{"h2"}, now.Add(relayBackoff))
+	assert.Assert(t, found)
+	assert.Equal(t, x.Host, ident.HostID("h1"))
+}
+
+// Orders to an engine come from one machine at a time, each with a fencing token of its own, and no two of them alternate.
+func TestHolders(t *testing.T) {
+	type order struct {
+		after  time.Duration
+		direct bool
+		relays []Relay
+	}
+	d1, d2 := relay("d1", ""), relay("d2", "")
+	for name, c := range map[string]struct {
+		orders []order
+		want   string
+	}{
+		"a path":                       {[]order{{0, true, nil}, {0, true, nil}}, "leader 1280, leader 1280"},
+		"no path and no relay":         {[]order{{0, false, nil}}, "none"},
+		"a path that is lost":          {[]order{{0, true, nil}, {0, false, []Relay{d1}}}, "leader 1280, d1 1281"},
+		"a path that is back":          {[]order{{0, true, nil}, {0, false, []Relay{d1}}, {0, true, []Relay{d1}}}, "leader 1280, d1 1281, d1 1281"},
+		"a deputy that is lost":        {[]order{{0, false, []Relay{d1, d2}}, {0, false, []Relay{d2}}}, "d1 1281, d2 1282"},
+		"a deputy that is lost, alone": {[]order{{0, false, []Relay{d1}}, {0, false, nil}}, "d1 1281, none"},
+		"the leader again too soon":    {[]order{{0, true, nil}, {0, false, []Relay{d1}}, {time.Second, true, nil}}, "leader 1280, d1 1281, none"},
+		"the leader again":             {[]order{{0, true, nil}, {0, false, []Relay{d1}}, {3 * time.Second, true, nil}}, "leader 1280, d1 1281, leader 1282"},
+		"a former deputy too soon":     {[]order{{0, false, []Relay{d1}}, {0, false, []Relay{d2}}, {time.Second, false, []Relay{d1}}}, "d1 1281, d2 1282, none"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := NewHolders(5, 3*time.Second)
+			now := ident.Time(time.Hour)
+			var got []string
+			for _, o := range c.orders {
+				now = now.Add(o.after)
+				holder, found := h.Choose(target("a", 1).Instance, o.direct, o.relays, now)
+				if !found {
+					got = append(got, "none")
+					continue
+				}
+				got = append(got, fmt.Sprint(cmp.Or(holder.Deputy, "leader"), " ", holder.Fence))
+			}
+			assert.Equal(t, strings.Join(got, ", "), c.want)
+		})
+	}
+}
--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -53,8 +54,14 @@
 	HasBody bool
 	// MaxIdle is the longest idle time of a reused connection: 0 means no limit, a negative value forces a new connection.
 	MaxIdle time.Duration
+	// ConnectWithin is how long opening a connection may take; 0 for connectTimeout.
+	ConnectWithin time.Duration
 	// Greeting is sent first on a connection that has carried none; nil for none.
 	Greeting *Greeting
+	// OnEnd is called once the connection is no longer in use by the request; nil for none.
+	OnEnd func()
+	// OnRead is called when bytes arrive; nil for none.
+	OnRead func()
 }
 
 // Error is a request that got no response.
@@ -125,7 +132,8 @@
 	headLeft    int64      // bytes that the header may still take; 0 or more only while it is read
 	lastUsed    ident.Time // when the connection was last put into the pool
 	idleTimeout time.Duration
-	greeted     bool // a Greeting was answered as it should be
+	greeted     bool   // a Greeting was answered as it should be
+	onRead      func() // of the request that uses the connection
 }
 
 // noHeadLimit is the value of conn.headLeft while no header is read.
@@ -135,14 +143,19 @@
 
 // Read reads from the connection; it fails once a header exceeds maxHeadBytes, as bytes that are no answer may come without end.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.headLeft == noHeadLimit {
-		return c.Conn.Read(p)
-	}
 	if c.headLeft == 0 {
 		return 0, errHeadTooLong
 	}
-	n, err := c.Conn.Read(p[:min(int64(len(p)), c.headLeft)])
-	c.headLeft -= int64(n)
+	if c.headLeft != noHeadLimit {
+		p = p[:min(int64(len(p)), c.headLeft)]
+	}
+	n, err := c.Conn.Read(p)
+	if c.headLeft != noHeadLimit {
+		c.headLeft -= int64(n)
+	}
+	if n > 0 && c.onRead != nil {
+		c.onRead()
+	}
 	return n, err
 }
 
@@ -157,6 +170,9 @@
 	written  chan error
 	complete bool
 	closed   bool
+	onEnd    func()
+	// idle is how long the connection may stay idle once the response has been read.
+	idle time.Duration
 }
 
 // Do sends a request and returns once the response header has been read. Cancelling the context closes the connection
@@ -166,7 +182,8 @@
 	if err != nil {
 		return nil, err
 	}
-	resp := &Response{client: c, conn: cn, key: r.Key, written: make(chan error, 1)}
+	cn.onRead = r.OnRead
+	resp := &Response{client: c, conn: cn, key: r.Key, written: make(chan error, 1), onEnd: r.OnEnd}
 	resp.stopWatch = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	if err := resp.exchange(r); err != nil {
 		sent := !errors.Is(err, errNothingSent)
@@ -208,7 +225,7 @@
 			return fmt.Errorf("read response header: %w", err)
 		}
 		if httpResp.StatusCode >= 200 {
-			resp.Response = httpResp
+			resp.Response, resp.idle = httpResp, idleTimeout(httpResp.Header)
 			return nil
 		}
 	}
@@ -247,11 +264,26 @@
 		resp.abort()
 		return
 	}
-	resp.closed = true
-	resp.conn.idleTimeout = idleTimeout(resp.Header)
+	resp.close()
+	resp.conn.idleTimeout = resp.idle
 	resp.client.putIdle(resp.key, resp.conn)
 }
 
+// close marks the response as closed.
+func (resp *Response) close() {
+	resp.closed = true
+	if resp.onEnd != nil {
+		resp.onEnd()
+		resp.onEnd = nil
+	}
+}
+
+// Replace replaces the status, the header and the length of the response, for a response that is wrapped in the body of another one. What
+// is left of the body is the body of the new one.
+func (resp *Response) Replace(status int, h http.Header, length int64) {
+	resp.Response = &http.Response{StatusCode: status, Header: h, ContentLength: length, Body: resp.Body, Close: resp.Close}
+}
+
 // requestWritten reports whether all of the request was written; an endpoint may respond before it has read the body.
 func (resp *Response) requestWritten() bool {
 	select {
@@ -264,7 +296,7 @@
 
 // abort closes the connection and marks the response as closed.
 func (resp *Response) abort() {
-	resp.closed = true
+	resp.close()
 	resp.stopWatch()
 	_ = resp.conn.Close()
 }
@@ -301,16 +333,43 @@
 		}
 		return cn, nil
 	}
-	raw, err := c.Connect(ctx, r.Address, connectTimeout)
+	raw, err := c.Connect(ctx, r.Address, cmp.Or(r.ConnectWithin, connectTimeout))
 	if err != nil {
 		return nil, err
 	}
+	return c.newConn(raw), nil
+}
+
+// newConn returns a connection that has just been opened.
+func (c *Client) newConn(raw net.Conn) *conn {
 	c.mu.Lock()
 	c.opened++
 	c.mu.Unlock()
 	cn := &conn{Conn: raw, headLeft: noHeadLimit}
 	cn.reader = bufio.NewReaderSize(cn, bufferSize)
-	return cn, nil
+	return cn
+}
+
+// Probe finds out whether an endpoint accepts a connection, and keeps the connection for the next request.
+func (c *Client) Probe(ctx context.Context, key, address string) error {
+	raw, err := c.Connect(ctx, address, connectTimeout)
+	if err != nil {
+		return &Error{Step: "connect", Peer: address, Err: err}
+	}
+	cn := c.newConn(raw)
+	cn.idleTimeout = defaultIdleTimeout
+	c.putIdle(key, cn)
+	return nil
+}
+
+// CloseIdle closes the idle connections of a pool key, as after the loss of the path.
+func (c *Client) CloseIdle(key string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, cn := range c.idle[key] {
+		_ = cn.Close()
+	}
+	delete(c.idle, key)
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a new connection.
--- a/io/front/census.go
+++ b/io/front/census.go
@@ -3,6 +3,7 @@
 import (
 	"shallotgap/core/census"
 	"shallotgap/core/ident"
+	"shallotgap/core/reach"
 	"shallotgap/io/clock"
 	"shallotgap/io/link"
 )
@@ -65,3 +66,16 @@
 	s, known := f.router.Load().Layout.Service(name)
 	return known && s.Engine == nil
 }
+
+// listEndpoints returns the ready endpoints of a service that this host knows.
+func (f *Front) listEndpoints(s ident.Service) []reach.Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []reach.Target
+	for _, e := range f.census.ByService(s) {
+		if e.State == census.Ready {
+			list = append(list, reach.Target{Instance: e.Instance, Service: s, Address: e.Address})
+		}
+	}
+	return list
+}
--- a/io/front/crash.go
+++ b/io/front/crash.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"syscall"
-	"time"
 
 	"shallotgap/core/census"
 	"shallotgap/core/grant"
@@ -15,9 +14,6 @@
 	"shallotgap/io/link"
 )
 
-// crashProbeTimeout is how long a connection to an endpoint that may have crashed may take: some round trips.
-const crashProbeTimeout = 150 * time.Millisecond
-
 // identity returns what makes the request the same as another one.
 func (ex *exchange) identity() poison.Identity {
 	id := poison.Identity{Method: ex.r.Method, Target: ex.r.Host + ex.r.RequestURI, Caller: ex.call.Caller, Body: ex.body}
@@ -66,10 +62,7 @@
 	if known && (e.Instance != i || e.State != census.Ready) {
 		return
 	}
-	c, err := ex.client.Connect(ctx, address, crashProbeTimeout)
-	if err == nil {
-		_ = c.Close()
-	}
+	err := ex.Paths.Check(ctx, ex.reachTarget(i, address))
 	crashed := errors.Is(err, syscall.ECONNREFUSED)
 	id := ex.identity()
 	outcome := "listens"
--- a/io/front/drain.go
+++ b/io/front/drain.go
@@ -23,6 +23,7 @@
 // Drain announces to the control hosts that this host is not ready for callers, and limits admission from now on.
 func (f *Front) Drain(d DrainDeadlines) {
 	f.drain.Store(&d)
+	f.Paths.Drain()
 	f.sendPresence()
 }
 
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -28,6 +28,7 @@
 	"shallotgap/io/link"
 	"shallotgap/io/logs"
 	"shallotgap/io/metric"
+	"shallotgap/io/reach"
 )
 
 // Call holds the decoded headers of a caller's request.
@@ -106,8 +107,8 @@
 	LinkAddress ident.HostID
 	// Network opens the host's links; nil for a link.Mesh.
 	Network link.Opener
-	// OpenEndpoint opens connections to endpoints; nil for TCP.
-	OpenEndpoint dial.Opener
+	// Paths sends requests to endpoints; nil for a client that Run keeps running.
+	Paths *reach.Client
 	// Address is the address for callers that this host announces.
 	Address string
 	Dialect Dialect
@@ -140,7 +141,7 @@
 	Server *http.Server
 
 	mesh         link.Network
-	client       *dial.Client
+	ownPaths     bool // Run keeps Paths running
 	router       atomic.Pointer[layout.Router]
 	layoutLoaded chan struct{}                  // closed when the first layout has arrived
 	drain        atomic.Pointer[DrainDeadlines] // nil until Drain is called
@@ -174,13 +175,19 @@
 // New returns an entry host; Run starts it.
 func New(common logs.Common, meter *metric.Meter, c Config) *Front {
 	f := &Front{
-		Common: common, Config: c, Meter: meter, client: dial.New(dial.Config{Open: c.OpenEndpoint}), layoutLoaded: make(chan struct{}), census: census.NewFollower(), poison: poison.NewTable(), written: poison.NewWritten(), evidence: poison.NewEvidence(), picker: pick.New(c.Domain),
+		Common: common, Config: c, Meter: meter, layoutLoaded: make(chan struct{}), census: census.NewFollower(), poison: poison.NewTable(), written: poison.NewWritten(), evidence: poison.NewEvidence(), picker: pick.New(c.Domain),
 		limits: newHostLimits(), permitTimes: map[ident.Service]permitTimes{}, newestVersions: map[book.AdapterRef]book.WeightsVersion{}, controlStatus: map[ident.HostID]link.Status{}, grantRequests: map[grant.ID]*grantRequest{},
 		lastServed: map[book.AdapterRef]servedPlace{}, retryBudgets: map[ident.Service]*grant.Budget{}, sendCounts: map[ident.Service]*grant.Budget{}, streams: resume.NewTable(resume.LifeOf(nil), resume.Capacity), startedAt: clock.Boot(), entryHosts: 1,
 	}
+	f.ownPaths = c.Paths == nil
+	if f.ownPaths {
+		f.Paths = reach.New(common, reach.Config{Greeting: func(i ident.Instance) *dial.Greeting { return c.Dialect.Greeting(i) }, Meter: meter})
+	}
+	f.Paths.OnFaults(f.sendPresence)
+	f.Paths.SetLister(f.listEndpoints)
 	f.router.Store(layout.NewRouter(nil))
 	f.Forwarder = calls.New(calls.Config{Send: func(to ident.HostID, m link.Message) bool { return f.mesh.Send(to, m) }})
-	f.mesh = c.Network.Open(common, link.Config{Self: link.Hello{Host: c.Self, Domain: c.Domain, Address: c.LinkAddress}, Handler: f, Listener: c.Links, InitialMessages: f.initialMessages})
+	f.mesh = c.Network.Open(common, link.Config{Self: link.Hello{Host: c.Self, Domain: c.Domain, Address: c.LinkAddress}, Handler: f, Listener: c.Links, InitialMessages: f.initialMessages, Relay: f.Paths})
 	for _, h := range c.Seeds {
 		f.mesh.Target(h)
 	}
@@ -191,6 +198,9 @@
 func (f *Front) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return f.mesh.Run(ctx) })
+	if f.ownPaths {
+		group.Go(func() error { return f.Paths.Run(ctx) })
+	}
 	group.Go(func() error {
 		ticker := time.NewTicker(presenceInterval)
 		defer ticker.Stop()
@@ -218,7 +228,7 @@
 	f.expireLastServed(now)
 	f.limits.forget(now)
 	f.evidence.Forget(now)
-	opened, reused := f.client.Counts()
+	opened, reused := f.Paths.Counts()
 	f.Meter.Gauge("shallotgap_connections_opened", opened)
 	f.Meter.Gauge("shallotgap_connections_reused", reused)
 }
@@ -235,7 +245,11 @@
 
 // presence returns the message that announces this host to the control hosts.
 func (f *Front) presence() link.Message {
-	return link.Message{Presence: &link.Presence{Address: f.Address, Ready: f.Ready()}}
+	p := link.Presence{Address: f.Address, Ready: f.Ready()}
+	if lost := f.Paths.Faults(); !lost.Empty() {
+		p.Lost = &lost
+	}
+	return link.Message{Presence: &p}
 }
 
 // sendPresence announces this host to all linked control hosts.
@@ -273,6 +287,12 @@
 
 // handleLayoutChange applies a change to the layout, or fetches the whole layout if the change starts at another version.
 func (f *Front) handleLayoutChange(from ident.HostID, c layout.Change) {
+	wasReady := f.Ready()
+	defer func() {
+		if f.Ready() && !wasReady {
+			f.sendPresence()
+		}
+	}()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.fetchedAt = 0
--- a/io/front/links.go
+++ b/io/front/links.go
@@ -58,6 +58,8 @@
 		f.recordCrash(m.Crashed.Crash)
 	case m.Limits != nil:
 		f.handleLimits(from.Host, *m.Limits)
+	case m.Relays != nil:
+		f.Paths.SetRelays(m.Relays.List)
 	case m.Reply != nil:
 		f.handleGrantReply(from.Host, *m.Reply)
 	}
--- a/io/front/plain.go
+++ b/io/front/plain.go
@@ -15,6 +15,7 @@
 	"shallotgap/core/pick"
 	"shallotgap/io/clock"
 	"shallotgap/io/dial"
+	"shallotgap/io/reach"
 )
 
 // maxBufferedBody is the largest response body that is buffered completely before it is forwarded, so that a truncated
@@ -54,6 +55,9 @@
 		switch {
 		case result == sendDone:
 			return
+		case result == sendNoPath:
+			ex.fail(noPathCause, failedRetryAfter)
+			return
 		case ctx.Err() != nil:
 			ex.fail(failureCause(ctx), 0)
 			return
@@ -124,7 +128,7 @@
 // sendPlain sends the request to an endpoint of a plain service and forwards the response.
 func (ex *exchange) sendPlain(ctx context.Context, e census.Entry) sendResult {
 	sentAt := clock.Boot()
-	resp, err := ex.client.Do(ctx, ex.endpointRequest(Target{Instance: e.Instance, Timeout: ex.timeLeft()}, e.Address))
+	resp, err := ex.send(ctx, Target{Instance: e.Instance}, e.Address, false)
 	var failed *dial.Error
 	if errors.As(err, &failed) {
 		return ex.plainSendFailed(ctx, e, failed)
@@ -202,6 +206,9 @@
 		return sendBroken
 	}
 	ex.endSend(e, pick.Unreachable, nil)
+	if errors.Is(err, reach.ErrNoPath) && ex.Paths.CutOff(ex.service.Name) {
+		return sendNoPath
+	}
 	return sendNotRun
 }
 
--- a/io/front/serve.go
+++ b/io/front/serve.go
@@ -13,8 +13,10 @@
 	"shallotgap/core/ident"
 	"shallotgap/core/layout"
 	"shallotgap/core/poison"
+	corereach "shallotgap/core/reach"
 	"shallotgap/io/clock"
 	"shallotgap/io/dial"
+	"shallotgap/io/reach"
 )
 
 // responseMargin is subtracted from the caller's deadline, so that the final response still arrives in time: a few round
@@ -158,7 +160,7 @@
 // endpointRequest builds the request to an endpoint.
 func (ex *exchange) endpointRequest(t Target, address string) dial.Request {
 	r := dial.Request{
-		Key: string(t.Instance.ID) + "/" + strconv.FormatUint(uint64(t.Instance.Born), 10), Address: address,
+		Key: reach.Key(t.Instance), Address: address,
 		Method: ex.r.Method, Target: ex.r.RequestURI, Host: ex.r.Host, Header: ex.Dialect.Outgoing(ex.r.Header, t), Body: ex.body,
 		HasBody: ex.r.ContentLength != 0 || len(ex.r.Header["Content-Length"]) > 0 || ex.r.Method == http.MethodPost || ex.r.Method == http.MethodPut || ex.r.Method == http.MethodPatch,
 	}
@@ -168,6 +170,19 @@
 	return r
 }
 
+// send sends the request to an endpoint by any path. The time left is counted when it leaves.
+func (ex *exchange) send(ctx context.Context, t Target, address string, verify bool) (*dial.Response, error) {
+	return ex.Paths.Do(ctx, reach.Request{Target: ex.reachTarget(t.Instance, address), Verify: verify, Build: func() dial.Request {
+		t.Timeout = ex.timeLeft()
+		return ex.endpointRequest(t, address)
+	}})
+}
+
+// reachTarget returns an endpoint of the request's service as a target of paths.
+func (ex *exchange) reachTarget(i ident.Instance, address string) corereach.Target {
+	return corereach.Target{Instance: i, Service: ex.service.Name, Address: address}
+}
+
 // nonRepeatableMaxIdle is the longest idle time of a reused connection for a request that must not run twice. If the
 // endpoint closes an idle connection just as the request is sent, it is unknown whether the request ran.
 const nonRepeatableMaxIdle = 2 * time.Second
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -13,6 +13,7 @@
 	"shallotgap/core/grant"
 	"shallotgap/io/clock"
 	"shallotgap/io/dial"
+	"shallotgap/io/reach"
 )
 
 // maxGrants bounds the grants for one request. Several are needed mostly when engines reject the request.
@@ -25,6 +26,7 @@
 	sendDone   sendResult = iota // the response was forwarded
 	sendNotRun                   // the endpoint did not run the request: try another
 	sendBroken                   // the endpoint may have run the request, but no complete response arrived
+	sendNoPath                   // no host that this one knows has a path to the service
 )
 
 // serveStream serves a request for a model: it requests grants until an engine responds completely, or the attempts or the
@@ -58,6 +60,9 @@
 		switch {
 		case result == sendDone:
 			return
+		case result == sendNoPath:
+			ex.fail(noPathCause, failedRetryAfter)
+			return
 		case result == sendNotRun && ctx.Err() == nil:
 		case result == sendBroken && ex.bound && req.uncertain:
 			ex.fail(string(grant.VersionUnknown), 0)
@@ -105,11 +110,7 @@
 	} else {
 		events.eventTimer = nil
 	}
-	r := ex.endpointRequest(Target{Instance: p.Instance, Version: p.Version, Timeout: ex.timeLeft(), LastEventID: events.lastID, Engine: true, Priority: ex.route.Priority}, p.Address)
-	if p.Verify {
-		r.Greeting = ex.Dialect.Greeting(p.Instance)
-	}
-	resp, err := ex.client.Do(sendCtx, r)
+	resp, err := ex.send(sendCtx, Target{Instance: p.Instance, Version: p.Version, LastEventID: events.lastID, Engine: true, Priority: ex.route.Priority}, p.Address, p.Verify)
 	var failed *dial.Error
 	if errors.As(err, &failed) {
 		return ex.streamSendFailed(ctx, req, failed)
@@ -219,10 +220,17 @@
 		}
 		return sendBroken
 	}
-	ex.release(req, grant.Unreachable, 0, 0)
+	alone := errors.Is(err, reach.ErrNoPath)
+	ex.releaseWith(req, grant.End{Outcome: grant.Unreachable, Alone: alone})
+	if alone && ex.Paths.CutOff(ex.service.Name) {
+		return sendNoPath
+	}
 	return sendNotRun
 }
 
+// noPathCause is the cause of requests for a service to which neither this host nor one that it knows has a path.
+const noPathCause = "no-path"
+
 // handleFailedResponse handles an engine's error response: it forwards the response on the last attempt, and otherwise has
 // another engine tried.
 func (ex *exchange) handleFailedResponse(req *grantRequest, resp *dial.Response, lastAttempt bool) sendResult {
--- a/io/link/mesh.go
+++ b/io/link/mesh.go
@@ -25,12 +25,17 @@
 	LinkDown(peer Hello)
 }
 
+// RelayPath is the path at a host's address for links at which it takes requests of other hosts for endpoints.
+const RelayPath = "/relay"
+
 // Config holds the settings of a mesh.
 type Config struct {
 	Self    Hello
 	Handler Handler
 	// Listener accepts links; nil for a host that only dials.
 	Listener net.Listener
+	// Relay handles requests of other hosts for endpoints, at RelayPath; nil for a host that relays none.
+	Relay http.Handler
 	// InitialMessages returns the messages to send on a new connection, after the Hello.
 	InitialMessages func() []Message
 }
@@ -203,6 +208,10 @@
 
 // accept serves a connection that another host has dialled.
 func (m *Mesh) accept(w http.ResponseWriter, r *http.Request) {
+	if m.Relay != nil && r.URL.Path == RelayPath {
+		m.Relay.ServeHTTP(w, r)
+		return
+	}
 	ws, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		m.Log.WithField("step", "accept").WithField("peer", r.RemoteAddr).WithError(err).Warn("bad-link")
--- a/io/link/message.go
+++ b/io/link/message.go
@@ -14,6 +14,7 @@
 	"shallotgap/core/limit"
 	"shallotgap/core/poison"
 	"shallotgap/core/quorum"
+	"shallotgap/core/reach"
 	"shallotgap/core/resume"
 )
 
@@ -52,6 +53,7 @@
 	LimitSeen       *limit.Seen             `json:"limit-seen,omitempty"`
 	Limits          *Limits                 `json:"limits,omitempty"`
 	Begun           []resume.Record         `json:"begun,omitempty"`
+	Relays          *Relays                 `json:"relays,omitempty"`
 	Call            *Call                   `json:"call,omitempty"`
 	EndpointCall    *EndpointCall           `json:"endpoint-call,omitempty"`
 	Answer          *Answer                 `json:"answer,omitempty"`
@@ -82,6 +84,13 @@
 	Address string `json:"address"`
 	// Ready is true while the host accepts new callers.
 	Ready bool `json:"ready,omitempty"`
+	// Lost are the paths to endpoints that the host has lost; nil for none.
+	Lost *reach.Faults `json:"lost,omitempty"`
+}
+
+// Relays lists hosts that can send to endpoints for a host that has lost paths.
+type Relays struct {
+	List []reach.Relay `json:"list"`
 }
 
 // ActiveGrants lists the grants in use on an entry host; it is sent to a new leader.
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -25,13 +25,14 @@
 	"shallotgap/io/front"
 	"shallotgap/io/logs"
 	"shallotgap/io/metric"
+	"shallotgap/io/reach"
 	"shallotgap/io/voter"
 )
 
 // Edge provides the HTTP interfaces of a platform to callers, operators and endpoints.
 type Edge struct {
 	Dialect front.Dialect
-	Engines func(common logs.Common, holder string, open dial.Opener) voter.Engines
+	Engines func(common logs.Common, holder string, paths *reach.Client) voter.Engines
 	// OpenEndpoint opens connections to endpoints; nil for TCP.
 	OpenEndpoint dial.Opener
 	// Control handles the calls of operators and endpoints. Directory returns entry host addresses to callers, which may
@@ -103,6 +104,7 @@
 	meter *metric.Meter
 	voter *voter.Voter
 	front *front.Front
+	paths *reach.Client
 	group *errgroup.Group
 }
 
@@ -136,6 +138,8 @@
 }
 
 func (h *host) start(ctx context.Context) error {
+	h.paths = reach.New(h.Common, reach.Config{Open: h.edge.OpenEndpoint, Greeting: h.edge.Dialect.Greeting, Meter: h.meter})
+	h.group.Go(func() error { return h.paths.Run(ctx) })
 	if h.runsControlHost() {
 		if err := h.startControlHost(ctx); err != nil {
 			return err
@@ -170,7 +174,7 @@
 	grantParams.HeartbeatLag = h.HeartbeatInterval + 800*time.Millisecond       // one heartbeat interval and the age of its adapter list
 	v, err := voter.New(h.Common, h.meter, voter.Config{
 		Self: ident.HostID(h.Links), Domain: h.Domain, Seeds: h.Seeds, Bootstrap: h.Bootstrap, TargetVoters: h.Voters, Folder: h.Folder,
-		OrderPause: h.OrderPause, GrantParams: grantParams, Listener: links, Engines: h.edge.Engines(h.Common, h.Name, h.edge.OpenEndpoint), RandomSeed: uint64(time.Now().UnixNano()),
+		OrderPause: h.OrderPause, GrantParams: grantParams, Listener: links, Engines: h.edge.Engines(h.Common, h.Name, h.paths), Paths: h.paths, RandomSeed: uint64(time.Now().UnixNano()),
 	})
 	if err != nil {
 		return err
@@ -211,7 +215,7 @@
 
 func (h *host) startEntryHost(ctx context.Context) error {
 	c := front.Config{
-		Self: ident.HostID(h.Name), Domain: h.Domain, Seeds: h.Seeds, Address: string(h.Callers), Dialect: h.edge.Dialect, OpenEndpoint: h.edge.OpenEndpoint,
+		Self: ident.HostID(h.Name), Domain: h.Domain, Seeds: h.Seeds, Address: string(h.Callers), Dialect: h.edge.Dialect, Paths: h.paths,
 		RetryRatio: h.RetryRatio, RetryExtra: int(float64(h.RetryExtra) * serviceRetryShare), RetryWindow: h.RetryWindow,
 	}
 	servesControl := h.Control != "" && h.voter == nil // else the control host in this process serves it
--- a/io/voter/lead.go
+++ b/io/voter/lead.go
@@ -12,6 +12,7 @@
 	"shallotgap/core/ident"
 	"shallotgap/core/layout"
 	"shallotgap/core/quorum"
+	corereach "shallotgap/core/reach"
 	"shallotgap/core/resume"
 	"shallotgap/io/clock"
 	"shallotgap/io/link"
@@ -24,6 +25,7 @@
 	startedAt  ident.Time
 	ordersFrom ident.Time // earliest time at which this leader may send its first order
 	lastOrder  ident.Time
+	holders    *corereach.Holders
 	builds     *resume.Watch
 	// buildsDue is the time of the next look at the builds of endpoints.
 	buildsDue ident.Time
@@ -55,7 +57,7 @@
 }
 
 func (v *Voter) beginLeading(term ident.Term, now ident.Time) {
-	v.leadership = &leadership{authority: grant.New(v.GrantParams, now), term: term, startedAt: now, builds: resume.NewWatch()}
+	v.leadership = &leadership{authority: grant.New(v.GrantParams, now), term: term, startedAt: now, holders: corereach.NewHolders(term, v.OrderPause), builds: resume.NewWatch()}
 	if v.lastOrder != 0 {
 		// Another host may have sent orders since this host's last order, and orders of two hosts must not alternate within
 		// OrderPause.
@@ -160,17 +162,20 @@
 			lead.authority.ApplyOrderResult(o, r, clock.Boot())
 		}
 	}
-	if now < lead.ordersFrom {
+	holder, found := v.chooseHolder(o, now)
+	if now < lead.ordersFrom || !found {
 		v.post(func() { done(grant.Conflict) })
 		return
 	}
-	lead.lastOrder = now
+	if holder.Deputy == "" {
+		lead.lastOrder = now
+	}
 	v.Meter.Count("shallotgap_orders_total")
 	until := now.Add(electionTimeout / 2)
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		r := v.Engines.Order(ctx, o, ident.Fence(lead.term), until)
+		r := v.Engines.Order(ctx, o, holder, until)
 		v.post(func() { done(r) })
 	}()
 }
--- a/io/voter/status.go
+++ b/io/voter/status.go
@@ -96,15 +96,17 @@
 // Addresses returns the addresses of ready entry hosts for callers of a failure domain, in random order. Entry hosts of
 // other domains are included only if the domain has fewer than minAddresses.
 func (v *Voter) Addresses(ctx context.Context, domain ident.DomainID) ([]string, error) {
-	var near, far []string
+	var near, nearCutOff, far []string
 	err := v.runInLoop(ctx, func() {
 		now := clock.Boot()
 		for _, e := range v.entryHosts {
 			switch {
 			case !e.presence.Ready || now.Sub(e.receivedAt) > presenceTTL:
+			case e.hello.Domain == domain && e.isCutOff():
+				nearCutOff = append(nearCutOff, e.presence.Address)
 			case e.hello.Domain == domain:
 				near = append(near, e.presence.Address)
-			default:
+			case !e.isCutOff():
 				far = append(far, e.presence.Address)
 			}
 		}
@@ -112,6 +114,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(near) < max(minAddresses, len(nearCutOff)) {
+		// The others could not bear all callers of the domain. A host that is cut off serves its callers through others.
+		near = append(near, nearCutOff...)
+	}
 	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
 	list := near
 	for len(list) < minAddresses && len(far) > 0 {
@@ -212,6 +218,7 @@
 			if v.leadership != nil {
 				v.leadership.buildsDue = 0
 			}
+			v.learnPath(e)
 			v.logEndpoint(e, "changed")
 		}
 		for _, e := range displaced {
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -16,6 +16,7 @@
 	"shallotgap/core/ident"
 	"shallotgap/core/layout"
 	"shallotgap/core/quorum"
+	corereach "shallotgap/core/reach"
 	"shallotgap/core/resume"
 	"shallotgap/core/world"
 	"shallotgap/io/calls"
@@ -24,12 +25,13 @@
 	"shallotgap/io/link"
 	"shallotgap/io/logs"
 	"shallotgap/io/metric"
+	"shallotgap/io/reach"
 )
 
 // Engines sends the leader's orders and report requests to engines.
 type Engines interface {
-	// Order sends an order with the leader's fencing token. It must not send the order after until.
-	Order(ctx context.Context, o grant.Order, fence ident.Fence, until ident.Time) grant.Result
+	// Order sends an order from its holder, with the holder's fencing token. It must not send the order after until.
+	Order(ctx context.Context, o grant.Order, holder corereach.Holder, until ident.Time) grant.Result
 	// Report requests an engine's report of its state.
 	Report(ctx context.Context, t grant.Target) (grant.Report, error)
 }
@@ -53,8 +55,10 @@
 	GrantParams grant.Params
 	Listener    net.Listener
 	// Network opens the host's links; nil for a link.Mesh.
-	Network    link.Opener
-	Engines    Engines
+	Network link.Opener
+	Engines Engines
+	// Paths sends to engines; nil if Engines needs no paths.
+	Paths      *reach.Client
 	RandomSeed uint64
 }
 
@@ -236,11 +240,15 @@
 	v.flushCensus()
 	v.flushStreams()
 	v.followLeader(now)
+	v.setOwnRelays(now)
 	if late := v.disk.OldestAge(now); late > slowDiskLimit && v.node.Role() == quorum.Leader {
 		v.Log.WithField("step", "lead").WithField("write", late.String()).Warn("disk-slow")
 		v.node.StepDown(quorum.ExcludeNone)
 	}
 	if now >= v.nextStatus {
+		if v.leadership != nil {
+			v.leadership.holders.Keep(func(i ident.Instance) bool { e, known := v.census.Get(i.ID); return known && e.Instance == i })
+		}
 		v.sendStatus(now)
 	}
 }
@@ -277,6 +285,7 @@
 		v.addControlHosts(m.Status.Control)
 	case m.Presence != nil:
 		v.entryHosts[from.Host] = entryHost{hello: from, presence: *m.Presence, receivedAt: now}
+		v.sendRelays(from, *m.Presence, now)
 	case m.Census != nil:
 		v.observeEndpoints(m.Census, false)
 	case m.ShortHeartbeats != nil:
