Notice a silent peer of an idle connection after 3 to 4 s, as on a busy one

Cause: TCP_USER_TIMEOUT also decides when keep-alive probes give up, whatever their count: at the first probe timer after it. The first probe came after 3 s of silence and the next timer 15 s later (the default interval), so a request that waited for its answer learned of a dead peer after 18 s. Change: probes after 1 s, each second; TCP_USER_TIMEOUT stays 3 s, longer than a sound endpoint is silent. Links between hosts notice by their own pings (1.3 s) and are unchanged.

--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -27,8 +27,13 @@
 
 // Timeouts and limits of connections.
 const (
-	connectTimeout     = 400 * time.Millisecond // a reachable endpoint accepts within a few round trips
-	tcpUserTimeout     = 3 * time.Second        // TCP_USER_TIMEOUT: unacknowledged data breaks the connection
+	connectTimeout = 400 * time.Millisecond // a reachable endpoint accepts within a few round trips
+	// tcpUserTimeout is TCP_USER_TIMEOUT: data that is not acknowledged for so long breaks the connection. It also decides when keep-alive
+	// probes give up, whatever their count, at the first probe that is due after it. So a silent peer is noticed after DeadPeerTimeout,
+	// whether the connection is busy or idle, and one that is silent for a second or two is not taken for dead.
+	tcpUserTimeout     = 3 * time.Second
+	keepAliveIdle      = time.Second
+	keepAliveInterval  = time.Second
 	defaultIdleTimeout = 4 * time.Second        // used if the response has no Keep-Alive timeout
 	idleMargin         = 500 * time.Millisecond // subtracted from the endpoint's Keep-Alive timeout
 	maxIdlePerKey      = 32                     // idle connections per pool key
@@ -40,6 +45,12 @@
 	sweepInterval = time.Second
 )
 
+// DeadPeerTimeout is the time after which a connection to a silent peer breaks.
+const DeadPeerTimeout = max(tcpUserTimeout, keepAliveIdle+keepAliveInterval) + keepAliveInterval
+
+// keepAliveProbes is the number of keep-alive probes on kernels that don't let tcpUserTimeout decide.
+const keepAliveProbes = int((tcpUserTimeout - keepAliveIdle) / keepAliveInterval)
+
 // Request is one request to an endpoint.
 type Request struct {
 	// Key selects the pool of idle connections: one per endpoint instance, since a restart may reuse the address.
@@ -107,7 +118,7 @@
 
 // openTCP opens a connection that breaks when the peer acknowledges no data for tcpUserTimeout.
 func openTCP(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{KeepAlive: tcpUserTimeout, Control: setUserTimeout}
+	d := net.Dialer{Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes}}
 	return d.DialContext(ctx, network, address)
 }
 
