Start no goroutine of the mesh once it waits for them to end

Cause: a data race seen once (race detector, TestAnswersOfFaultyEndpoints in a run of all packages on a copy): a connection that comes while the mesh stops started its goroutines while Run already waited for the group. Change: goroutines start under the lock, and none after the stop.

--- a/io/link/mesh.go
+++ b/io/link/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -50,6 +51,7 @@
 	links      map[ident.HostID][]*conn
 	targets    map[ident.HostID]context.CancelFunc // functions that stop the dialling of a host; nil before Run
 	ctx        context.Context
+	stopped    bool // no goroutine is started any more
 	goroutines sync.WaitGroup
 }
 
@@ -68,7 +70,7 @@
 	for h := range early {
 		m.Target(h)
 	}
-	defer m.goroutines.Wait()
+	defer m.stop()
 	if m.Listener == nil {
 		<-ctx.Done()
 		return nil
@@ -82,11 +84,32 @@
 	return nil
 }
 
+// stop waits for the goroutines of the mesh.
+func (m *Mesh) stop() {
+	m.mu.Lock()
+	m.stopped = true
+	m.mu.Unlock()
+	m.goroutines.Wait()
+}
+
+// start runs functions in goroutines of their own. It reports false if the mesh has stopped.
+func (m *Mesh) start(list ...func()) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopped {
+		return false
+	}
+	for _, f := range list {
+		m.goroutines.Go(f)
+	}
+	return true
+}
+
 // Target adds a host to the hosts that the mesh dials, and redials whenever the link is lost.
 func (m *Mesh) Target(h ident.HostID) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if _, known := m.targets[h]; known || h == m.Self.Host || h == m.Self.Address {
+	if _, known := m.targets[h]; known || m.stopped || h == m.Self.Host || h == m.Self.Address {
 		return
 	}
 	if m.ctx == nil {
@@ -238,11 +261,14 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	m.goroutines.Go(func() { c.write(ctx) })
-	m.goroutines.Go(func() { c.watch(ctx) })
+	if !m.start(func() { c.write(ctx) }, func() { c.watch(ctx) }) {
+		return errStopped
+	}
 	return c.read(ctx, m)
 }
 
+var errStopped = errors.New("the mesh has stopped")
+
 // addConn registers a connection after the peer's Hello.
 func (m *Mesh) addConn(c *conn) {
 	m.mu.Lock()
