--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -164,7 +165,7 @@
 
 func (v *Voter) newNode(stored world.Stored) *quorum.Node {
 	s := quorum.Settings{
-		Self: v.Self, Disk: stored.Disk, Contacts: v.Seeds, TargetVoters: v.TargetVoters, RepairAfter: repairAfter,
+		Self: v.Self, Disk: stored.Disk, Contacts: slices.Clone(v.Seeds), TargetVoters: v.TargetVoters, RepairAfter: repairAfter,
 		Domains: map[ident.HostID]ident.DomainID{v.Self: v.Domain}, HeartbeatInterval: quorumHeartbeat, ElectionTimeout: electionTimeout, MaxBatch: maxAppendEntries,
 		Rand: rand.New(rand.NewPCG(v.RandomSeed, uint64(clock.Boot()))),
 	}
