Send brittle endpoints only what they have room for

Cause: Server-Brittle was not read. An endpoint that has to reject more than it names in a second falls over, and its load goes to the next one. Class: overload that spreads. Change: core/heed reads the header (bad values: ignored and logged; the lowest of several counts) and keeps the room of a brittle endpoint. Plain services need a permit for each send, whose end is reported; engines are granted no more than their room. Without a leader each host keeps to its share of the slots and waits for it as long as it would for a permit.

--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -315,6 +315,9 @@
 		e.failures.record(true, now)
 		e.failures.recordUnreachable(now)
 	case NotRun:
+		if end.Full {
+			t.recordRejection(e.entry.Instance, len(e.running), now)
+		}
 		t.handleNotRun(e, r, now)
 	}
 }
@@ -411,6 +414,7 @@
 		t.expire(now)
 		t.stepRecords(now)
 		t.expirePermits(now)
+		t.forgetRooms(now)
 		t.countCopies()
 		if t.layout != nil {
 			t.measurePressure(now)
--- a/core/grant/grant.go
+++ b/core/grant/grant.go
@@ -123,6 +123,8 @@
 	Outcome Outcome `json:"outcome"`
 	// Alone is true for an endpoint that is unreachable from the sender, which could ask no other host: it may be a matter of the path.
 	Alone bool `json:"alone,omitempty"`
+	// Full is true for an endpoint that rejected the request for want of room.
+	Full bool `json:"full,omitempty"`
 	// First is the time from sending the request to its first event; 0 when no event arrived.
 	First time.Duration `json:"first,omitempty"`
 	// Gap is the longest pause between two events.
--- a/core/grant/limit.go
+++ b/core/grant/limit.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"shallotgap/core/heed"
 	"shallotgap/core/ident"
 	"shallotgap/core/limit"
 )
@@ -31,6 +32,7 @@
 
 // limitWatch is the part of an Authority that keeps the limits of endpoints over all hosts.
 type limitWatch struct {
+	rooms      map[ident.Instance]*heed.Room // brittle endpoints
 	limits     *limit.Pool
 	limitTable *limit.Table
 	// permitWaiters are the requests for plain services that wait for a permit, permits the ones that got one lately.
@@ -48,12 +50,13 @@
 type permit struct {
 	instance ident.Instance
 	ask      Ask
-	until    ident.Time // when the permit is forgotten, and a suspected request has ended
+	until    ident.Time // when the permit is forgotten, and the request has ended
+	brittle  bool       // the request takes a place at a brittle endpoint until it has ended
 }
 
-// reply returns the reply that carries the permit. The end of a suspected request is watched.
+// reply returns the reply that carries the permit. The end of a suspected request, and of one at a brittle endpoint, is watched.
 func (p permit) reply() Reply {
-	return Reply{ID: p.ask.ID, Place: &Place{Instance: p.instance, Watch: len(p.ask.Whole) > 0}}
+	return Reply{ID: p.ask.ID, Place: &Place{Instance: p.instance, Watch: len(p.ask.Whole) > 0 || p.brittle}}
 }
 
 // permitMemory is how long a permit is remembered, so that a request that asks again gets the same one.
@@ -61,7 +64,7 @@
 
 func newLimitWatch() limitWatch {
 	table := limit.NewTable()
-	return limitWatch{limits: limit.NewPool(table, 0), limitTable: table, permitWaiters: map[ID]*permitWaiter{}, permits: map[ID]permit{}}
+	return limitWatch{rooms: map[ident.Instance]*heed.Room{}, limits: limit.NewPool(table, 0), limitTable: table, permitWaiters: map[ID]*permitWaiter{}, permits: map[ID]permit{}}
 }
 
 // SetLimits sets the replicated table of limits at the start of the authority.
@@ -170,12 +173,15 @@
 // endPermit ends the run of a suspected request, or takes a permit back that was not used.
 func (t *Authority) endPermit(end End, now ident.Time) {
 	p, known := t.permits[end.ID]
-	if !known || len(p.ask.Whole) == 0 || end.Outcome == Cancelled {
+	if !known || (len(p.ask.Whole) == 0 && !p.brittle) || end.Outcome == Cancelled {
 		t.withdrawPermit(end.ID)
 		return
 	}
 	delete(t.permits, end.ID)
-	if end.Outcome == Served {
+	if end.Full {
+		t.recordRejection(p.instance, t.permitted(p.instance), now)
+	}
+	if end.Outcome == Served && len(p.ask.Whole) > 0 {
 		t.markWritten(p.ask, now)
 	}
 }
@@ -223,6 +229,9 @@
 			continue
 		}
 		wait := t.limits.WaitFor(i, 1+turns[i], now)
+		if t.rooms[i] != nil && (turns[i] > 0 || !t.hasRoom(i, t.permitted(i), now)) {
+			wait = max(wait, time.Duration(1+turns[i])*roomTurn)
+		}
 		if !found || wait < shortest {
 			best, shortest, found = i, wait, true
 		}
@@ -232,7 +241,7 @@
 
 func (t *Authority) givePermit(w *permitWaiter, i ident.Instance, now ident.Time) {
 	delete(t.permitWaiters, w.ask.ID)
-	t.permits[w.ask.ID] = permit{instance: i, ask: w.ask, until: now.Add(max(permitMemory, w.ask.Left))}
+	t.permits[w.ask.ID] = permit{instance: i, ask: w.ask, until: now.Add(max(permitMemory, w.ask.Left)), brittle: t.rooms[i] != nil}
 	t.takeSend(i, PermitSend, now)
 	t.watch(w.ask.ID, w.ask.Whole)
 	t.reply(w.ask, t.permits[w.ask.ID].reply())
--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -224,7 +224,7 @@
 // request now.
 func (t *Authority) option(e *engine, w *waiter, engine *layout.Engine, storeBusy bool, now ident.Time) (option, bool) {
 	a := w.ask
-	if len(e.running) >= engine.Slots || e.reservedTokens+a.Prompt+a.Output > engine.Memory {
+	if len(e.running) >= engine.Slots || !t.hasRoom(e.entry.Instance, len(e.running), now) || e.reservedTokens+a.Prompt+a.Output > engine.Memory {
 		return option{}, false
 	}
 	o := option{engine: e}
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -114,6 +114,9 @@
 	s.usedAt = now
 }
 
+// Running returns the number of requests of this host that run at an endpoint.
+func (p *Picker) Running(e census.Entry) int { return p.statsOf(e).running }
+
 // Outcome is how a request to an endpoint ended.
 type Outcome uint8
 
--- a/io/front/crash.go
+++ b/io/front/crash.go
@@ -115,14 +115,17 @@
 	return ex.choosePermitted(ctx, list, avoid, true, ex.wholeParts())
 }
 
-// endPermitted tells the authority that a permitted send of a suspected request has ended.
+// endPermitted tells the authority that a permitted send has ended whose end it watches.
 func (ex *exchange) endPermitted(id grant.ID, result sendResult) {
 	if id == "" {
 		return
 	}
 	end := grant.End{ID: id, Outcome: grant.Failed}
-	if result == sendDone {
+	switch result {
+	case sendDone:
 		end.Outcome = grant.Served
+	case sendNotRun:
+		end.Outcome, end.Full = grant.NotRun, ex.lastFull
 	}
 	ex.mu.Lock()
 	leader := ex.leader
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -16,6 +16,7 @@
 	"shallotgap/core/book"
 	"shallotgap/core/census"
 	"shallotgap/core/grant"
+	"shallotgap/core/heed"
 	"shallotgap/core/ident"
 	"shallotgap/core/layout"
 	"shallotgap/core/limit"
@@ -78,6 +79,10 @@
 	Load *pick.Load
 	// Limit is what the endpoint says about the rate of requests that it takes.
 	Limit limit.Signal
+	// Brittle is how many requests the endpoint can reject in a second, if IsBrittle is true. BadHeader quotes values that were not understood.
+	Brittle   heed.Brittle
+	IsBrittle bool
+	BadHeader string
 }
 
 // Dialect decodes and encodes the protocol headers of callers and endpoints.
@@ -162,6 +167,7 @@
 	written        *poison.Written // the parts that engines wrote on lately for this host
 	evidence       *poison.Evidence
 	limits         *hostLimits
+	heed           *heed.Table // what endpoints say of themselves
 	permitTimes    map[ident.Service]permitTimes
 	grantRequests  map[grant.ID]*grantRequest
 	lastServed     map[book.AdapterRef]servedPlace // the last grant of each adapter
@@ -176,7 +182,7 @@
 func New(common logs.Common, meter *metric.Meter, c Config) *Front {
 	f := &Front{
 		Common: common, Config: c, Meter: meter, layoutLoaded: make(chan struct{}), census: census.NewFollower(), poison: poison.NewTable(), written: poison.NewWritten(), evidence: poison.NewEvidence(), picker: pick.New(c.Domain),
-		limits: newHostLimits(), permitTimes: map[ident.Service]permitTimes{}, newestVersions: map[book.AdapterRef]book.WeightsVersion{}, controlStatus: map[ident.HostID]link.Status{}, grantRequests: map[grant.ID]*grantRequest{},
+		limits: newHostLimits(), heed: heed.NewTable(), permitTimes: map[ident.Service]permitTimes{}, newestVersions: map[book.AdapterRef]book.WeightsVersion{}, controlStatus: map[ident.HostID]link.Status{}, grantRequests: map[grant.ID]*grantRequest{},
 		lastServed: map[book.AdapterRef]servedPlace{}, retryBudgets: map[ident.Service]*grant.Budget{}, sendCounts: map[ident.Service]*grant.Budget{}, streams: resume.NewTable(resume.LifeOf(nil), resume.Capacity), startedAt: clock.Boot(), entryHosts: 1,
 	}
 	f.ownPaths = c.Paths == nil
@@ -227,6 +233,7 @@
 	f.picker.Forget(now.Add(-pickerRetention))
 	f.expireLastServed(now)
 	f.limits.forget(now)
+	f.heed.Forget(now)
 	f.evidence.Forget(now)
 	opened, reused := f.Paths.Counts()
 	f.Meter.Gauge("shallotgap_connections_opened", opened)
--- a/io/front/grants.go
+++ b/io/front/grants.go
@@ -273,6 +273,9 @@
 	if uncertain && limited && req.msg.Bound {
 		return grant.Reply{}, false // a greeting would exceed the limit
 	}
+	if f.heed.Brittle(p.Instance) && !f.engineShare(req.msg.Service, p.Instance) {
+		return grant.Reply{}, false
+	}
 	if wait := f.limits.takeShare(p.Instance, f.entryHosts, now); wait > 0 {
 		return grant.Reply{}, false
 	}
--- a/io/front/permit.go
+++ b/io/front/permit.go
@@ -52,7 +52,7 @@
 	list := ex.ofBuild(ex.census.ByService(ex.service.Name))
 	var free, limited []census.Entry
 	for _, e := range list {
-		if _, ok := ex.limits.of(e.Instance, now); ok {
+		if _, ok := ex.limits.of(e.Instance, now); ok || ex.heed.Brittle(e.Instance) {
 			limited = append(limited, e)
 		} else {
 			free = append(free, e)
@@ -139,7 +139,7 @@
 	leaderless := f.leader == ""
 	f.mu.Unlock()
 	if leaderless {
-		return f.permitFromShare(a)
+		return f.awaitShare(ctx, a)
 	}
 	req := f.openGrantRequest(a)
 	timer := time.NewTimer(a.Left + permitTimeout)
@@ -157,6 +157,21 @@
 	}
 }
 
+// awaitShare waits until this host's share of the endpoints allows a send, as long as the request may wait.
+func (f *Front) awaitShare(ctx context.Context, a grant.Ask) grant.Reply {
+	end := clock.Boot().Add(a.Left)
+	for {
+		r := f.permitFromShare(a)
+		if r.Place != nil || r.Cause != grant.Limited || ctx.Err() != nil || clock.Boot().Add(min(r.After, shareRetry)) > end {
+			return r
+		}
+		pause(ctx, shareRetry)
+	}
+}
+
+// shareRetry is the time between two looks at this host's share: a part of the time that short requests take.
+const shareRetry = 10 * time.Millisecond
+
 // permitFromShare permits a send from this host's share of the limits, which is safe if all hosts use theirs.
 func (f *Front) permitFromShare(a grant.Ask) grant.Reply {
 	f.mu.Lock()
@@ -167,6 +182,12 @@
 	}
 	shortest := time.Duration(0)
 	for _, i := range a.Permit {
+		if e, known := f.census.Get(i.ID); known && !f.shareOf(i, e.Slots, f.picker.Running(e)) {
+			if shortest == 0 {
+				shortest = failedRetryAfter
+			}
+			continue
+		}
 		wait := f.limits.takeShare(i, f.entryHosts, now)
 		if wait == 0 {
 			return grant.Reply{Place: &grant.Place{Instance: i}}
--- a/io/front/plain.go
+++ b/io/front/plain.go
@@ -137,6 +137,7 @@
 	defer resp.Finish()
 	v := ex.Dialect.Verdict(ex.call.ID, resp.StatusCode, resp.Header)
 	ex.noteLimit(e.Instance, v, resp.StatusCode, sentAt)
+	ex.noteSaid(e.Instance, v, resp.StatusCode, e.Slots)
 	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBody))
 	tooLong := err == nil && !resp.Complete() && len(body) == maxBufferedBody
 	switch {
@@ -156,6 +157,7 @@
 		return sendBroken
 	case v.NotRun:
 		ex.rejections++
+		ex.lastFull = isFull(resp.StatusCode)
 		ex.endSend(e, pick.Full, v.Load)
 		ex.logDecision("send", e.Instance.ID, "not-run", "status="+strconv.Itoa(resp.StatusCode))
 		return sendNotRun
@@ -189,6 +191,7 @@
 // plainSendFailed handles a send to a plain service that got no response.
 func (ex *exchange) plainSendFailed(ctx context.Context, e census.Entry, err *dial.Error) sendResult {
 	ex.logDecision("send", e.Instance.ID, "no-answer", err.Error())
+	ex.lastFull = false
 	switch {
 	case ctx.Err() != nil:
 		ex.mayHaveRun = ex.mayHaveRun || err.Sent
--- a/io/front/serve.go
+++ b/io/front/serve.go
@@ -44,6 +44,8 @@
 	whole []poison.Part
 	// rejections is the number of sends that endpoints rejected without running the request.
 	rejections int
+	// lastFull is true if the latest rejection was for want of room.
+	lastFull bool
 }
 
 // ServeHTTP serves a caller's request.
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -119,6 +119,7 @@
 	defer resp.Finish()
 	v := ex.Dialect.Verdict(ex.call.ID, resp.StatusCode, resp.Header)
 	ex.noteLimit(p.Instance, v, resp.StatusCode, sentAt)
+	ex.noteSaid(p.Instance, v, resp.StatusCode, ex.service.Engine.Slots)
 	switch {
 	case v.Mismatched || (resp.StatusCode/100 == 2 && !v.Authentic):
 		resp.Abort()
@@ -132,7 +133,7 @@
 		if resp.StatusCode == http.StatusMisdirectedRequest {
 			ex.forgetServed(req)
 		}
-		ex.release(req, grant.NotRun, 0, 0)
+		ex.releaseWith(req, grant.End{Outcome: grant.NotRun, Full: isFull(resp.StatusCode)})
 		return sendNotRun
 	}
 	ex.mayHaveRun = true
--- a/io/link/message.go
+++ b/io/link/message.go
@@ -9,6 +9,7 @@
 	"shallotgap/core/book"
 	"shallotgap/core/census"
 	"shallotgap/core/grant"
+	"shallotgap/core/heed"
 	"shallotgap/core/ident"
 	"shallotgap/core/layout"
 	"shallotgap/core/limit"
@@ -54,6 +55,7 @@
 	Limits          *Limits                 `json:"limits,omitempty"`
 	Begun           []resume.Record         `json:"begun,omitempty"`
 	Relays          *Relays                 `json:"relays,omitempty"`
+	Said            *heed.Report            `json:"said,omitempty"`
 	Call            *Call                   `json:"call,omitempty"`
 	EndpointCall    *EndpointCall           `json:"endpoint-call,omitempty"`
 	Answer          *Answer                 `json:"answer,omitempty"`
