Keep a stream at an engine that is silent for up to 2 s

Cause: a resumable stream moved to another engine after 1.2 s without an event. A sound engine may fall silent for a second or so and go on, and then two engines work on the same stream. Change: the shortest wait for an event is 2 s; callers wait at least that long. Result: SilentEngineKeepsItsStream (silent for 1.5 s) failed before and passes: one send.

--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -185,7 +185,7 @@
 const (
 	firstEventTargets = 2
 	nextEventGaps     = 3
-	minEventTimeout   = 1200 * time.Millisecond // the default heartbeat interval of endpoints
+	minEventTimeout   = 2 * time.Second // a sound engine may be silent for a second or so
 )
 
 var errNoEvent = errors.New("no event from the engine in time")
