--- a/io/reach/paths.go
+++ b/io/reach/paths.go
@@ -12,6 +12,7 @@
 	"shallotgap/io/clock"
 )
 
+// Run probes lost and doubtful paths until the context ends.
 func (c *Client) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	ticker := time.NewTicker(tickInterval)
@@ -28,6 +29,7 @@
 	}
 }
 
+// due returns the endpoints to probe.
 func (c *Client) due(now ident.Time) []reach.Target {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -41,6 +43,7 @@
 	return c.paths.Due(now)
 }
 
+// probe opens a connection to an endpoint and keeps it for the next request.
 func (c *Client) probe(ctx context.Context, t reach.Target) {
 	err := c.dial.Probe(ctx, Key(t.Instance), t.Address)
 	switch {
@@ -52,6 +55,7 @@
 	}
 }
 
+// succeed records that an endpoint was reached.
 func (c *Client) succeed(t reach.Target) {
 	c.mu.Lock()
 	healed := c.paths.Succeed(t, clock.Boot())
@@ -62,6 +66,7 @@
 	}
 }
 
+// fail records that no connection to an endpoint could be made.
 func (c *Client) fail(t reach.Target, err error) {
 	c.dial.CloseIdle(Key(t.Instance))
 	c.mu.Lock()
@@ -73,6 +78,7 @@
 	}
 }
 
+// gone records that no host can connect to an endpoint, as far as this one knows.
 func (c *Client) gone(t reach.Target) {
 	c.mu.Lock()
 	c.paths.Gone(t, clock.Boot())
@@ -81,6 +87,7 @@
 	c.publish()
 }
 
+// logPath logs a change of a path.
 func (c *Client) logPath(t reach.Target, outcome string, err error) {
 	c.mu.Lock()
 	cutOff := c.paths.CutOff(t.Service)
@@ -89,6 +96,7 @@
 		WithField("outcome", outcome).WithField("cut-off", cutOff).WithField("cause", fmt.Sprint(err)).Info("path")
 }
 
+// publish tells a change of the lost paths.
 func (c *Client) publish() {
 	c.mu.Lock()
 	had := !c.faults.Empty()
@@ -105,24 +113,28 @@
 	}
 }
 
+// Faults returns the paths that this host has lost.
 func (c *Client) Faults() reach.Faults {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.faults
 }
 
+// OnFaults sets the function that is called when the lost paths have changed. It must not block.
 func (c *Client) OnFaults(f func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.onFaults = f
 }
 
+// SetLister sets the function that lists the endpoints of a service, which may be probed. It is called without a lock of the client.
 func (c *Client) SetLister(l Lister) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.list = l
 }
 
+// Learn adds endpoints to those that may be probed.
 func (c *Client) Learn(targets []reach.Target) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -131,12 +143,14 @@
 	}
 }
 
+// CutOff reports whether this host has lost its paths to all endpoints of a service.
 func (c *Client) CutOff(s ident.Service) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.paths.CutOff(s)
 }
 
+// SetRelays replaces the hosts that can send for this one.
 func (c *Client) SetRelays(list []reach.Relay) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -148,6 +162,7 @@
 	}
 }
 
+// begin registers a send without an answer.
 func (c *Client) begin(t reach.Target) *openSend {
 	s := &openSend{Target: t}
 	s.heardAt.Store(int64(clock.Boot()))
@@ -157,18 +172,21 @@
 	return s
 }
 
+// hear records the arrival of bytes of an endpoint.
 func (c *Client) hear(s *openSend) {
 	now := int64(clock.Boot())
 	c.heard.Store(now)
 	s.heardAt.Store(now)
 }
 
+// end ends the registration of a send.
 func (c *Client) end(s *openSend) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.open, s)
 }
 
+// Direct reports whether this host has a path to an endpoint, as far as it knows.
 func (c *Client) Direct(t reach.Target) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/io/reach/reach.go
+++ b/io/reach/reach.go
@@ -109,21 +109,6 @@
 	return string(i.ID) + "/" + strconv.FormatUint(uint64(i.Born), 10)
 }
 
-// Run probes lost and doubtful paths until the context ends.
-// due returns the endpoints to probe.
-// probe opens a connection to an endpoint and keeps it for the next request.
-// succeed records that an endpoint was reached.
-// fail records that no connection to an endpoint could be made.
-// gone records that no host can connect to an endpoint, as far as this one knows.
-// publish tells a change of the lost paths.
-// Faults returns the paths that this host has lost.
-// OnFaults sets the function that is called when the lost paths have changed. It must not block.
-// SetLister sets the function that lists the endpoints of a service, which may be probed. It is called without a lock of the client.
-// Learn adds endpoints to those that may be probed.
-// CutOff reports whether this host has lost its paths to all endpoints of a service.
-// SetRelays replaces the hosts that can send for this one.
-// begin registers a send without an answer.
-// hear records the arrival of bytes of an endpoint.
 // Do sends a request to an endpoint, directly or through another host, and returns once the response header has been read. An error says
 // whether the endpoint may have run the request.
 func (c *Client) Do(ctx context.Context, r Request) (*dial.Response, error) {
@@ -272,7 +257,6 @@
 	return resp, err
 }
 
-// Direct reports whether this host has a path to an endpoint, as far as it knows.
 // unreached returns the error of a send that neither this host nor a relay could make. It has the cause of a refused connection only if
 // that is not because this host is cut off.
 func (c *Client) unreached(ctx context.Context, t reach.Target, cause error) error {
