Ask before each send whether the endpoint wants it: Retry-After and Server-Leaving of its answers

Cause: an answer was read for its own request only, and no place was common to all sends. Change: core/heed.Gate, asked by reach.Client before each send of any kind and fed by each answer. Leaving binds all hosts that have read or passed it on, and is a drain for the control hosts; a rest binds the host that sent, at most for a minute, and is a delay of that engine for that host at the leader. Plain requests go to other endpoints, or are rejected at once with the earliest end.

--- a/core/grant/brittle.go
+++ b/core/grant/brittle.go
@@ -12,7 +12,11 @@
 const roomTurn = 20 * time.Millisecond
 
 // ObserveReport applies what a host learned from an endpoint's answers.
-func (t *Authority) ObserveReport(r heed.Report, now ident.Time) {
+func (t *Authority) ObserveReport(r heed.Report, host ident.HostID, now ident.Time) {
+	if r.Rest > 0 {
+		t.recordRest(r, host, now)
+		return
+	}
 	room := t.rooms[r.Instance]
 	switch {
 	case r.NotBrittle:
@@ -58,3 +62,34 @@
 		}
 	}
 }
+
+// recordRest records that an engine wants nothing from a host for a time. That is a delay of the engine for requests of this host.
+func (t *Authority) recordRest(r heed.Report, host ident.HostID, now ident.Time) {
+	e := t.engines[r.Instance.ID]
+	if e == nil || e.entry.Instance != r.Instance {
+		return
+	}
+	if e.rests == nil {
+		e.rests = map[ident.HostID]ident.Time{}
+	}
+	for h, end := range e.rests {
+		if now >= end {
+			delete(e.rests, h)
+		}
+	}
+	e.rests[host] = max(e.rests[host], now.Add(min(r.Rest, heed.MaxRest)))
+	t.effects.Notes = append(t.effects.Notes, Note{Step: "rest", Peer: host, Endpoint: r.Instance.ID, Outcome: "asked", Inputs: fmt.Sprintf("rest=%dms", r.Rest.Milliseconds())})
+}
+
+// addRest adds the rest of an engine to the delay of an option.
+func (o option) addRest(host ident.HostID, now ident.Time) option {
+	rest := o.engine.rests[host].Sub(now)
+	if rest <= o.startDelay {
+		return o
+	}
+	extra := rest - o.startDelay
+	o.startDelay = rest
+	o.firstEvent += extra
+	o.cost += extra
+	return o
+}
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -41,6 +41,7 @@
 	recentPrefill   time.Duration
 	recentPrefillAt ident.Time
 	failures        failureEstimate
+	rests           map[ident.HostID]ident.Time // ends of the rests that the engine wants from hosts
 	// modelLoadUntil is when the load of a base model should be complete; no other model load is ordered before that time.
 	modelLoadUntil ident.Time
 	// resends counts how often the pending order was resent because no answer came.
--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -202,7 +202,7 @@
 		unlimited = unlimited || !t.limits.Limited(e.entry.Instance)
 		o, ok := t.option(e, w, engine, storeBusy, now)
 		if ok {
-			o = t.addLimitDelay(o, w, now)
+			o = t.addLimitDelay(o, w, now).addRest(w.ask.Host, now)
 		}
 		switch {
 		case !ok:
--- a/core/heed/brittle.go
+++ b/core/heed/brittle.go
@@ -48,6 +48,9 @@
 	// Brittle is set for an endpoint that says so, and NotBrittle for one that does not any more.
 	Brittle    *Brittle `json:"brittle,omitempty"`
 	NotBrittle bool     `json:"not-brittle,omitempty"`
+	// Leaving is true for an endpoint that says that it leaves, Rest is how long it wants nothing from the reporting host.
+	Leaving bool          `json:"leaving,omitempty"`
+	Rest    time.Duration `json:"rest,omitempty"`
 	// Slots is the number of requests that the endpoint processes at a time.
 	Slots int `json:"slots,omitempty"`
 }
--- a/io/front/crash.go
+++ b/io/front/crash.go
@@ -110,7 +110,7 @@
 // can permit its sends.
 func (ex *exchange) chooseSuspect(ctx context.Context, avoid []ident.EndpointID) choice {
 	ex.mu.Lock()
-	list := ex.ofBuild(ex.census.ByService(ex.service.Name))
+	list, _ := ex.withoutHeld(ex.ofBuild(ex.census.ByService(ex.service.Name)))
 	ex.mu.Unlock()
 	return ex.choosePermitted(ctx, list, avoid, true, ex.wholeParts())
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -96,6 +96,8 @@
 	Greeting(i ident.Instance) *dial.Greeting
 	// Incoming returns the headers of an endpoint's response to forward to the caller.
 	Incoming(h http.Header) http.Header
+	// Said decodes what a response says of its endpoint, whatever the request was.
+	Said(status int, h http.Header) heed.Said
 	// Verdict decodes the headers of a response to the request with the given id.
 	Verdict(id string, status int, h http.Header) Verdict
 }
@@ -187,10 +189,11 @@
 	}
 	f.ownPaths = c.Paths == nil
 	if f.ownPaths {
-		f.Paths = reach.New(common, reach.Config{Greeting: func(i ident.Instance) *dial.Greeting { return c.Dialect.Greeting(i) }, Meter: meter})
+		f.Paths = reach.New(common, reach.Config{Greeting: func(i ident.Instance) *dial.Greeting { return c.Dialect.Greeting(i) }, Said: func(status int, h http.Header) heed.Said { return c.Dialect.Said(status, h) }, Meter: meter})
 	}
 	f.Paths.OnFaults(f.sendPresence)
 	f.Paths.SetLister(f.listEndpoints)
+	f.Paths.OnSaid(f.reportSaid)
 	f.router.Store(layout.NewRouter(nil))
 	f.Forwarder = calls.New(calls.Config{Send: func(to ident.HostID, m link.Message) bool { return f.mesh.Send(to, m) }})
 	f.mesh = c.Network.Open(common, link.Config{Self: link.Hello{Host: c.Self, Domain: c.Domain, Address: c.LinkAddress}, Handler: f, Listener: c.Links, InitialMessages: f.initialMessages, Relay: f.Paths})
--- a/io/front/grants.go
+++ b/io/front/grants.go
@@ -10,6 +10,7 @@
 	"shallotgap/core/census"
 	"shallotgap/core/grant"
 	"shallotgap/core/ident"
+	"shallotgap/core/reach"
 	"shallotgap/core/resume"
 	"shallotgap/io/clock"
 	"shallotgap/io/link"
@@ -180,6 +181,15 @@
 			f.resendGrantRequest(req)
 			return
 		}
+		if _, held := f.Paths.Held(reach.Target{Instance: r.Place.Instance, Service: req.msg.Service, Address: r.Place.Address}); held && len(req.msg.Permit) == 0 {
+			// The authority does not know yet what the engine has said to this host.
+			req.msg.Avoid = append(req.msg.Avoid, r.Place.Instance.ID)
+			f.mu.Unlock()
+			f.reportHeld(from, r.Place.Instance)
+			f.mesh.Send(from, link.Message{End: &grant.End{ID: r.ID, Outcome: grant.Cancelled}})
+			f.resendGrantRequest(req)
+			return
+		}
 		req.place, req.grantedBy = r.Place, from
 		if len(req.msg.Permit) > 0 {
 			delete(f.grantRequests, r.ID)
@@ -236,6 +246,7 @@
 	active.Crashes = f.evidence.Crashes(clock.Boot())
 	f.mu.Unlock()
 	f.mesh.Send(to, link.Message{Live: &active})
+	f.reportHeld(to, ident.Instance{})
 	for _, req := range waiting {
 		f.sendGrantRequest(req)
 	}
@@ -273,6 +284,9 @@
 	if uncertain && limited && req.msg.Bound {
 		return grant.Reply{}, false // a greeting would exceed the limit
 	}
+	if _, held := f.Paths.Held(reach.Target{Instance: p.Instance, Service: req.msg.Service, Address: p.Address}); held {
+		return grant.Reply{}, false
+	}
 	if f.heed.Brittle(p.Instance) && !f.engineShare(req.msg.Service, p.Instance) {
 		return grant.Reply{}, false
 	}
--- a/io/front/heed.go
+++ b/io/front/heed.go
@@ -4,9 +4,12 @@
 	"fmt"
 	"hash/fnv"
 	"net/http"
+	"time"
 
+	"shallotgap/core/census"
 	"shallotgap/core/heed"
 	"shallotgap/core/ident"
+	"shallotgap/core/reach"
 	"shallotgap/io/clock"
 	"shallotgap/io/link"
 )
@@ -60,3 +63,45 @@
 	s, known := f.router.Load().Layout.Service(name)
 	return known && s.Engine != nil && f.shareOf(i, s.Engine.Slots, running)
 }
+
+// reportSaid tells the control hosts what an endpoint says of itself.
+func (f *Front) reportSaid(t reach.Target, s heed.Said) {
+	if s.Leaving {
+		r := heed.Report{Instance: t.Instance, Service: t.Service, Leaving: true}
+		f.mesh.SendAll(link.Message{Said: &r}, func(h link.Hello) bool { return h.Control })
+	}
+	f.mu.Lock()
+	leader := f.leader
+	f.mu.Unlock()
+	if s.Rest > 0 && leader != "" {
+		f.mesh.Send(leader, link.Message{Said: &heed.Report{Instance: t.Instance, Service: t.Service, Rest: s.Rest}})
+	}
+}
+
+// reportHeld tells a new leader, or one that does not know it, which endpoints are held back.
+func (f *Front) reportHeld(to ident.HostID, only ident.Instance) {
+	for _, h := range f.Paths.HeldEndpoints() {
+		if only == (ident.Instance{}) || h.Instance == only {
+			f.mesh.Send(to, link.Message{Said: &heed.Report{Instance: h.Instance, Leaving: h.Leaving, Rest: h.Rest}})
+		}
+	}
+}
+
+// withoutHeld returns the endpoints that may be sent a request. If none may, it returns the time until the first of them wants requests again.
+func (ex *exchange) withoutHeld(list []census.Entry) ([]census.Entry, time.Duration) {
+	var free []census.Entry
+	first := time.Duration(0)
+	for _, e := range list {
+		rest, held := ex.Paths.Held(ex.reachTarget(e.Instance, e.Address))
+		switch {
+		case !held:
+			free = append(free, e)
+		case rest > 0 && (first == 0 || rest < first):
+			first = rest
+		}
+	}
+	return free, first
+}
+
+// restingCause is the cause of requests for a service all of whose endpoints want nothing from this host now.
+const restingCause = "endpoints-resting"
--- a/io/front/permit.go
+++ b/io/front/permit.go
@@ -49,7 +49,8 @@
 	}
 	now := clock.Boot()
 	ex.mu.Lock()
-	list := ex.ofBuild(ex.census.ByService(ex.service.Name))
+	known := ex.ofBuild(ex.census.ByService(ex.service.Name))
+	list, rest := ex.withoutHeld(known)
 	var free, limited []census.Entry
 	for _, e := range list {
 		if _, ok := ex.limits.of(e.Instance, now); ok || ex.heed.Brittle(e.Instance) {
@@ -71,8 +72,11 @@
 	}
 	ex.mu.Unlock()
 	switch {
+	case !hasFree && !hasLimited && len(list) == 0 && rest > 0:
+		ex.logDecision("choose", "", "resting", "known="+strconv.Itoa(len(known))+" rest="+rest.String())
+		return choice{cause: restingCause, retryAfter: rest}
 	case !hasFree && !hasLimited:
-		ex.logDecision("choose", "", "none", "known="+strconv.Itoa(len(list))+" avoided="+strconv.Itoa(len(avoid)))
+		ex.logDecision("choose", "", "none", "known="+strconv.Itoa(len(known))+" held="+strconv.Itoa(len(known)-len(list))+" avoided="+strconv.Itoa(len(avoid)))
 		if ex.bound && len(avoid) == 0 {
 			return choice{cause: grant.VersionGone}
 		}
--- a/io/front/plain.go
+++ b/io/front/plain.go
@@ -208,6 +208,10 @@
 		ex.checkCrash(ctx, e.Instance, e.Address)
 		return sendBroken
 	}
+	if held := (*reach.HeldError)(nil); errors.As(err, &held) {
+		ex.endSend(e, pick.Ignored, nil)
+		return sendNotRun
+	}
 	ex.endSend(e, pick.Unreachable, nil)
 	if errors.Is(err, reach.ErrNoPath) && ex.Paths.CutOff(ex.service.Name) {
 		return sendNoPath
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -221,6 +221,10 @@
 		}
 		return sendBroken
 	}
+	if held := (*reach.HeldError)(nil); errors.As(err, &held) {
+		ex.release(req, grant.Cancelled, 0, 0)
+		return sendNotRun
+	}
 	alone := errors.Is(err, reach.ErrNoPath)
 	ex.releaseWith(req, grant.End{Outcome: grant.Unreachable, Alone: alone})
 	if alone && ex.Paths.CutOff(ex.service.Name) {
--- a/io/reach/paths.go
+++ b/io/reach/paths.go
@@ -40,6 +40,7 @@
 		}
 	}
 	c.paths.Forget(now)
+	c.gate.Forget(now)
 	return c.paths.Due(now)
 }
 
--- a/io/reach/reach.go
+++ b/io/reach/reach.go
@@ -6,12 +6,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"shallotgap/core/heed"
 	"shallotgap/core/ident"
 	"shallotgap/core/reach"
 	"shallotgap/io/clock"
@@ -31,7 +33,9 @@
 	Open dial.Opener
 	// Greeting returns the request that verifies that an instance of an engine serves a connection; nil if there is none.
 	Greeting func(ident.Instance) *dial.Greeting
-	Meter    *metric.Meter
+	// Said decodes what an answer says of its endpoint; nil if answers say nothing.
+	Said  func(status int, h http.Header) heed.Said
+	Meter *metric.Meter
 }
 
 // Lister returns the endpoints of a service that a host knows.
@@ -65,6 +69,9 @@
 	mu       sync.Mutex
 	paths    *reach.Map
 	relays   *reach.Relays
+	gate     *heed.Gate
+	onSaid   func(reach.Target, heed.Said)
+	badFrom  ident.Instance // the endpoint whose value was last logged as not understood
 	faults   reach.Faults
 	onFaults func()
 	list     Lister
@@ -96,7 +103,7 @@
 
 // New returns a client that has lost no path.
 func New(common logs.Common, c Config) *Client {
-	r := &Client{Common: common, Config: c, paths: reach.New(), relays: reach.NewRelays(), listed: make(chan struct{}), open: map[*openSend]struct{}{}}
+	r := &Client{Common: common, Config: c, paths: reach.New(), gate: heed.NewGate(), relays: reach.NewRelays(), listed: make(chan struct{}), open: map[*openSend]struct{}{}}
 	r.dial, r.hosts = dial.New(dial.Config{Open: c.Open}), dial.New(dial.Config{})
 	return r
 }
@@ -112,6 +119,9 @@
 // Do sends a request to an endpoint, directly or through another host, and returns once the response header has been read. An error says
 // whether the endpoint may have run the request.
 func (c *Client) Do(ctx context.Context, r Request) (*dial.Response, error) {
+	if err := c.heldBack(r.Target, false); err != nil {
+		return nil, err
+	}
 	switch {
 	case r.Sender != "":
 		return c.relayThrough(ctx, r)
@@ -146,6 +156,9 @@
 
 // direct sends a request over a connection of this host.
 func (c *Client) direct(ctx context.Context, r Request) (*dial.Response, error) {
+	if err := c.heldBack(r.Target, true); err != nil {
+		return nil, err
+	}
 	resp, err := c.try(ctx, r, false)
 	var failed *dial.Error
 	if errors.As(err, &failed) && failed.Step == stepExchange && !failed.Sent && ctx.Err() == nil {
@@ -154,6 +167,7 @@
 	switch {
 	case err == nil:
 		c.succeed(r.Target)
+		c.note(r.Target, resp.StatusCode, resp.Header, true)
 	case ctx.Err() != nil:
 	case isConnectError(err):
 		c.fail(r.Target, err)
@@ -209,6 +223,7 @@
 		others = c.others(r.Target)
 	}
 	var tried []ident.HostID
+	var held error // the endpoint wants nothing from a relay
 	for range maxRelayTries {
 		c.mu.Lock()
 		via, found := c.relays.Take(r.Target, tried, clock.Boot())
@@ -225,6 +240,9 @@
 		c.logRelayed(r.Target, via, result, err)
 		switch {
 		case result == relayServed:
+			if resp != nil {
+				c.note(r.Target, resp.StatusCode, resp.Header, false)
+			}
 			c.mu.Lock()
 			c.paths.Learn(r.Target, clock.Boot())
 			c.mu.Unlock()
@@ -236,8 +254,13 @@
 			return nil, err
 		case result == relayUnreached:
 			cause = err
+		case result == relayHeld:
+			held = err
 		}
 	}
+	if held != nil {
+		return nil, held
+	}
 	if len(tried) == 0 && errors.Is(cause, ErrNoPath) && r.Build != nil && !c.CutOff(r.Service) {
 		// No other host reaches this endpoint either, so that it may not be a matter of the path.
 		resp, err := c.direct(ctx, r)
--- a/io/reach/relay.go
+++ b/io/reach/relay.go
@@ -45,6 +45,7 @@
 	relayUnreached relayResult = "unreached" // the relay could not connect to the endpoint
 	relayUnsent    relayResult = "unsent"    // the relay did not send the request, for a reason other than the path
 	relayGone      relayResult = "gone"      // the endpoint's address refuses the relay's connection: nothing listens there
+	relayHeld      relayResult = "held"      // the endpoint wants nothing from the relay now, or leaves
 	relayRefused   relayResult = "refused"   // the relay sends nothing for other hosts now
 	relayDown      relayResult = "down"      // the relay could not be reached
 )
@@ -53,9 +54,12 @@
 type relayHead struct {
 	Result relayResult `json:"result"`
 	Cause  string      `json:"cause,omitempty"`
-	Status int         `json:"status,omitempty"`
-	Header http.Header `json:"header,omitempty"`
-	Length int64       `json:"length"` // length of the endpoint's body, -1 if it is not known
+	// Leaving and Rest tell why the endpoint wants nothing.
+	Leaving bool          `json:"leaving,omitempty"`
+	Rest    time.Duration `json:"rest,omitempty"`
+	Status  int           `json:"status,omitempty"`
+	Header  http.Header   `json:"header,omitempty"`
+	Length  int64         `json:"length"` // length of the endpoint's body, -1 if it is not known
 }
 
 // Limits of relayed requests.
@@ -132,6 +136,8 @@
 		e.Step, e.Peer, e.Err = stepConnect, t.Address, fmt.Errorf("through %s: %s", via.Host, head.Cause)
 	case relayUnsent:
 		e.Err = errors.New(head.Cause)
+	case relayHeld:
+		e.Step, e.Peer, e.Err = stepGate, t.Address, &HeldError{Leaving: head.Leaving, Rest: head.Rest}
 	case relayRefused:
 		c.endRelayFailed(via)
 		e.Err = errRefused
@@ -211,7 +217,10 @@
 		return dial.Request{Key: Key(m.Instance), Address: m.Address, Method: m.Method, Target: m.Path, Host: m.Host, Header: m.Header, Body: m.Body, HasBody: m.HasBody, MaxIdle: m.MaxIdle}
 	}})
 	if err != nil {
-		head := relayHead{Result: c.resultOf(r.Context(), m, err), Cause: err.Error()}
+		head, held := heldResult(err)
+		if !held {
+			head = relayHead{Result: c.resultOf(r.Context(), m, err), Cause: err.Error()}
+		}
 		c.Meter.Count("shallotgap_relayed_for_others_total", "outcome", string(head.Result))
 		_ = writeHead(w, head) // if the sender has left, nobody waits for it
 		return
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -138,7 +138,7 @@
 }
 
 func (h *host) start(ctx context.Context) error {
-	h.paths = reach.New(h.Common, reach.Config{Open: h.edge.OpenEndpoint, Greeting: h.edge.Dialect.Greeting, Meter: h.meter})
+	h.paths = reach.New(h.Common, reach.Config{Open: h.edge.OpenEndpoint, Greeting: h.edge.Dialect.Greeting, Said: h.edge.Dialect.Said, Meter: h.meter})
 	h.group.Go(func() error { return h.paths.Run(ctx) })
 	if h.runsControlHost() {
 		if err := h.startControlHost(ctx); err != nil {
--- a/io/voter/lead.go
+++ b/io/voter/lead.go
@@ -98,8 +98,6 @@
 		v.leadership.authority.Written(m.Written, now)
 	case m.LimitSeen != nil:
 		v.leadership.authority.ObserveLimit(*m.LimitSeen, now)
-	case m.Said != nil:
-		v.leadership.authority.ObserveReport(*m.Said, now)
 	case m.Withdraw != "":
 		v.leadership.authority.Withdraw(m.Withdraw)
 	case m.Live != nil && m.Live.Term == v.leadership.term:
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -154,6 +154,9 @@
 		v.setCensusServices()
 	}
 	v.restoreEndpoints()
+	if c.Paths != nil {
+		c.Paths.OnSaid(v.noteSaid)
+	}
 	v.mesh = c.Network.Open(common, link.Config{Self: link.Hello{Host: c.Self, Domain: c.Domain, Control: true, ShortHeartbeats: true}, Handler: v, Listener: c.Listener})
 	v.node = v.newNode(stored)
 	for _, h := range c.Seeds {
@@ -299,6 +302,8 @@
 		v.serveCall(from.Host, *m.Call)
 	case m.EndpointCall != nil:
 		v.serveEndpointCall(from.Host, *m.EndpointCall)
+	case m.Said != nil:
+		v.handleSaid(from.Host, *m.Said, now)
 	case m.Answer != nil:
 		v.Resolve(*m.Answer)
 	case m.Begun != nil:
