Go on with rejoined streams only where one build of all services of their route can have written them

Cause: an attempt that nobody knows (entry hosts and the leader that granted it are gone, or the caller names none) was bound to the only build of the service that this attempt drew, although the route leads, or led a moment ago, to another service as well. Two records of an attempt at different services kept the first one's name. A configuration with shorter limits shortened the life of records of older streams. And an engine that had started again under its id as another build, without a heartbeat since, was not verified while one build was known. Change: the services to which each route has led and the longest life are replicated and forgotten by the leader one life later; the verdict counts the builds of all of them. Engines verify their birth on connections for streams that have begun.

--- a/core/book/book.go
+++ b/core/book/book.go
@@ -66,6 +66,7 @@
 			return false
 		}
 		b.Layout = c.Layout
+		b.Builds.NoteLayout(c.Layout)
 		return true
 	case c.Newest != nil:
 		if b.Newest[c.Newest.Of] >= c.Newest.Version {
@@ -101,11 +102,13 @@
 	Poison  poison.Snapshot `json:"poison,omitempty"`
 	Limits  limit.Snapshot  `json:"limits,omitempty"`
 	Builds  resume.Snapshot `json:"builds,omitempty"`
+	// Routes are the services to which routes have led lately.
+	Routes resume.RoutesSnapshot `json:"routes,omitzero"`
 }
 
 // Snapshot returns the encoded state.
 func (b *Book) Snapshot() ([]byte, error) {
-	return wire.Marshal(snapshot{Layout: b.Layout, Newest: b.List(), Changes: b.Changes, Poison: b.Poison.Snapshot(), Limits: b.Limits.Snapshot(), Builds: b.Builds.Snapshot()})
+	return wire.Marshal(snapshot{Layout: b.Layout, Newest: b.List(), Changes: b.Changes, Poison: b.Poison.Snapshot(), Limits: b.Limits.Snapshot(), Builds: b.Builds.Snapshot(), Routes: b.Builds.Routes()})
 }
 
 // Restore returns the state that a snapshot was taken from; empty data gives the empty state.
@@ -120,6 +123,7 @@
 	}
 	b.Layout, b.Changes, b.Poison, b.Limits = snap.Layout, snap.Changes, poison.Restore(snap.Poison), limit.Restore(snap.Limits)
 	b.Builds = resume.Restore(snap.Builds)
+	b.Builds.RestoreRoutes(snap.Routes, snap.Layout)
 	for _, n := range snap.Newest {
 		b.Newest[n.Of] = n.Version
 	}
--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -325,7 +325,7 @@
 // newPlace returns the place on an engine that a request is granted.
 func (t *Authority) newPlace(e *engine, a Ask) *Place {
 	p := &Place{Instance: e.entry.Instance, Address: e.entry.Address, Build: e.entry.Build}
-	p.Verify = a.Resumable && t.builds != nil && t.builds.Mixed(a.Service) && !t.limits.Limited(p.Instance)
+	p.Verify = a.Resumable && t.builds != nil && (a.Bound || t.builds.Mixed(a.Service)) && !t.limits.Limited(p.Instance)
 	if a.Ref.Adapter != "" {
 		p.Version = t.requiredVersion(e, a.Ref)
 	}
--- a/core/resume/builds.go
+++ b/core/resume/builds.go
@@ -17,16 +17,23 @@
 	Service ident.Service `json:"service"`
 	Add     []ident.Build `json:"add,omitempty"`
 	Drop    []ident.Build `json:"drop,omitempty"`
+	// Routes drops services to which routes lead no more, Life is the longest time of a stream from now on. A command that sets them sets none
+	// of the others.
+	Routes []RouteChange `json:"routes,omitempty"`
+	Life   time.Duration `json:"life,omitempty"`
 }
 
 // Builds is the replicated table of the builds of each service that may have written to streams lately. It has no clock: equal
 // commands lead to equal tables.
 type Builds struct {
+	routes
 	of map[ident.Service][]ident.Build
 }
 
 // NewBuilds returns an empty table.
-func NewBuilds() *Builds { return &Builds{of: map[ident.Service][]ident.Build{}} }
+func NewBuilds() *Builds {
+	return &Builds{routes: routes{services: map[RouteKey][]ident.Service{}}, of: map[ident.Service][]ident.Build{}}
+}
 
 // Of returns the builds of a service, in order.
 func (b *Builds) Of(s ident.Service) []ident.Build { return b.of[s] }
@@ -41,6 +48,13 @@
 
 // Apply carries out a command and reports whether it changed the table.
 func (b *Builds) Apply(c Command) bool {
+	if c.Service == "" {
+		changed := b.drop(c.Routes) || (c.Life != 0 && c.Life != b.life)
+		if c.Life != 0 {
+			b.life = c.Life
+		}
+		return changed
+	}
 	former := b.of[c.Service]
 	list := slices.DeleteFunc(slices.Clone(former), func(x ident.Build) bool { return slices.Contains(c.Drop, x) })
 	for _, x := range c.Add {
@@ -74,6 +88,8 @@
 // Watch follows which builds the known endpoints run, and says how the replicated table has to change. Only the leader uses it.
 type Watch struct {
 	seenAt map[serviceBuild]ident.Time
+	ledAt  map[routeService]ident.Time // when a route last led to a service
+	longAt ident.Time                  // when the layout last allowed streams of the longest life
 }
 
 type serviceBuild struct {
@@ -82,7 +98,9 @@
 }
 
 // NewWatch returns a watch for a leader that starts now.
-func NewWatch() *Watch { return &Watch{seenAt: map[serviceBuild]ident.Time{}} }
+func NewWatch() *Watch {
+	return &Watch{seenAt: map[serviceBuild]ident.Time{}, ledAt: map[routeService]ident.Time{}}
+}
 
 // Step compares the known endpoints with the table. A build that no endpoint has had for life is dropped: no stream lasts longer.
 func (w *Watch) Step(endpoints []census.Entry, b *Builds, life time.Duration, now ident.Time) []Command {
--- a/core/resume/table.go
+++ b/core/resume/table.go
@@ -14,7 +14,8 @@
 
 // Record tells which build an attempt was sent to.
 type Record struct {
-	Attempt Attempt       `json:"attempt"`
+	Attempt Attempt `json:"attempt"`
+	// Service is empty if the attempt was sent to several services.
 	Service ident.Service `json:"service"`
 	Build   ident.Build   `json:"build,omitempty"`
 	// Wrote is true if endpoints of that build are known to have written the first event. Otherwise the attempt was only sent there.
@@ -72,6 +73,9 @@
 		known.Record = r
 	case !known.Wrote:
 		known.Unclear = known.Unclear || r.Unclear || known.Build != r.Build || known.Service != r.Service
+		if known.Service != r.Service {
+			known.Service = ""
+		}
 	}
 	t.records[r.Attempt] = known
 	for len(t.records) > t.Capacity {
--- a/core/resume/verdict.go
+++ b/core/resume/verdict.go
@@ -1,6 +1,10 @@
 package resume
 
-import "shallotgap/core/ident"
+import (
+	"slices"
+
+	"shallotgap/core/ident"
+)
 
 // Query asks at which build a stream may go on.
 type Query struct {
@@ -8,6 +12,9 @@
 	Attempt Attempt `json:"attempt,omitempty"`
 	// Service is the service that the route names for the request.
 	Service ident.Service `json:"service"`
+	// Route is the route of the request, Services are those to which it leads now.
+	Route    RouteKey        `json:"route,omitempty"`
+	Services []ident.Service `json:"services,omitempty"`
 }
 
 // Source tells from what a verdict was drawn.
@@ -16,7 +23,7 @@
 // The sources of verdicts.
 const (
 	FromAttempt   Source = "attempt"    // the attempt is known
-	FromOnlyBuild Source = "only-build" // only one build of the service may have written to streams
+	FromOnlyBuild Source = "only-build" // only one build of one service may have written to streams of the route
 	FromNothing   Source = "nothing"    // several builds may have written to the stream
 )
 
@@ -30,15 +37,29 @@
 }
 
 // Verdict returns at which build a stream may go on. Endpoints that name no build cannot be told apart, so their streams go on only
-// where no endpoint of the service names one.
+// where no endpoint of the service names one. An attempt that nobody knows may have begun at any service to which its route has led lately.
 func (q Query) Verdict(t *Table, b *Builds, now ident.Time) Verdict {
 	r, found := t.Get(q.Attempt, now)
-	builds := b.Of(q.Service)
-	switch {
-	case found && !r.Unclear && (r.Build != "" || !b.Mixed(r.Service)):
+	if found && !r.Unclear && (r.Build != "" || !b.Mixed(r.Service)) {
 		return Verdict{Known: true, Service: r.Service, Build: r.Build, Source: FromAttempt}
-	case (!found || r.Service == q.Service) && len(builds) == 1:
-		return Verdict{Known: true, Service: q.Service, Build: builds[0], Source: FromOnlyBuild}
 	}
-	return Verdict{Source: FromNothing}
+	services := append([]ident.Service{q.Service}, q.Services...)
+	services = append(services, b.ServicesOf(q.Route)...)
+	switch {
+	case found && r.Service == "":
+		return Verdict{Source: FromNothing}
+	case found:
+		services = append(services, r.Service)
+	}
+	slices.Sort(services)
+	only := Verdict{Source: FromNothing}
+	for _, s := range slices.Compact(services) {
+		for _, build := range b.Of(s) {
+			if only.Known {
+				return Verdict{Source: FromNothing}
+			}
+			only = Verdict{Known: true, Service: s, Build: build, Source: FromOnlyBuild}
+		}
+	}
+	return only
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -321,7 +321,7 @@
 		close(f.layoutLoaded)
 	}
 	f.router.Store(layout.NewRouter(next))
-	f.streams.Life = resume.LifeOf(next)
+	f.streams.Life = max(f.streams.Life, resume.LifeOf(next)) // streams that began under an earlier layout may last longer
 	f.Log.WithField("step", "layout").WithField("peer", from).WithField("version", c.To).WithField("routes", len(next.Routes)).Info("layout")
 }
 
--- a/io/front/resume.go
+++ b/io/front/resume.go
@@ -28,7 +28,12 @@
 	if ex.call.LastEventID == "" || ex.route.Kind != layout.Stream {
 		return true
 	}
-	q := resume.Query{Attempt: ex.call.Resumes, Service: ex.service.Name}
+	q := resume.Query{Attempt: ex.call.Resumes, Service: ex.service.Name, Route: resume.KeyOf(ex.route)}
+	for _, s := range ex.route.Shares {
+		if s.Weight > 0 {
+			q.Services = append(q.Services, s.Service)
+		}
+	}
 	v, knownBy, err := ex.findBuild(ctx, q)
 	inputs := fmt.Sprintf("began=%s last=%s known-by=%s source=%s build=%s", q.Attempt, ex.call.LastEventID, knownBy, v.Source, v.Build)
 	outcome := "bound"
@@ -50,9 +55,18 @@
 		return false
 	}
 	ex.bound, ex.build = true, v.Build
+	ex.recordTakeUp()
 	return true
 }
 
+// recordTakeUp records which build goes on with a stream under the id of this attempt, as the caller may name it next time.
+func (ex *exchange) recordTakeUp() {
+	r := resume.Record{Attempt: resume.Attempt(ex.call.ID), Service: ex.service.Name, Build: ex.build, Wrote: true}
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	ex.streams.Add(r, clock.Boot())
+}
+
 // moveToService moves the request to the service that began the stream, as each attempt at a split route may be given another one. It
 // reports false if the route leads there no more.
 func (ex *exchange) moveToService(name ident.Service) bool {
--- a/io/voter/log.go
+++ b/io/voter/log.go
@@ -11,7 +11,6 @@
 	"shallotgap/core/ident"
 	"shallotgap/core/layout"
 	"shallotgap/core/quorum"
-	"shallotgap/core/resume"
 	"shallotgap/core/wire"
 	"shallotgap/core/world"
 	"shallotgap/io/clock"
@@ -54,7 +53,7 @@
 	}
 	former := v.book.Layout
 	v.book, v.applied, v.nextStatus = state, s.Index, 0
-	v.streams.Life = resume.LifeOf(state.Layout)
+	v.streams.Life = state.Builds.Life()
 	if former == nil && v.book.Layout != nil {
 		v.setCensusServices()
 	}
@@ -87,7 +86,7 @@
 	log := v.Log.WithField("step", "apply").WithField("index", index)
 	switch {
 	case c.Layout != nil:
-		v.streams.Life = resume.LifeOf(c.Layout)
+		v.streams.Life = v.book.Builds.Life()
 		v.latestChange = layout.Diff(former, v.book.Layout)
 		v.sendServiceEndpoints(former)
 		if former == nil {
--- a/io/voter/resume.go
+++ b/io/voter/resume.go
@@ -27,13 +27,19 @@
 		_, found := v.book.Layout.Service(e.Service)
 		return !found
 	})
-	for _, c := range l.builds.Step(endpoints, v.book.Builds, v.streams.Life, now) {
+	commands := l.builds.Step(endpoints, v.book.Builds, v.book.Builds.Life(), now)
+	for _, c := range append(commands, l.builds.StepRoutes(v.book.Layout, v.book.Builds, now)...) {
 		v.proposeCommand("builds", book.Command{Builds: &c})
 	}
 }
 
 // logBuilds logs a change of the builds of a service. Once there are several, the other control hosts need the records of all streams.
 func (v *Voter) logBuilds(c resume.Command) {
+	if c.Service == "" {
+		v.streams.Life = v.book.Builds.Life()
+		v.Log.WithField("step", "builds").WithField("routes", len(c.Routes)).WithField("life", v.streams.Life.String()).WithField("outcome", "routes-forgotten").Info("builds")
+		return
+	}
 	builds := v.book.Builds.Of(c.Service)
 	v.Log.WithField("step", "builds").WithField("service", c.Service).WithField("builds", fmt.Sprint(builds)).WithField("added", fmt.Sprint(c.Add)).WithField("dropped", fmt.Sprint(c.Drop)).Info("builds")
 	v.Meter.Gauge("shallotgap_builds", int64(len(builds)), "service", string(c.Service))
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -147,7 +147,7 @@
 		leaderCalls: leaderCalls{proposed: map[ident.Index][]proposal{}},
 		applied:     stored.Snapshot.Index, startedAt: clock.Boot(),
 	}
-	v.streams = resume.NewTable(resume.LifeOf(state.Layout), resume.Capacity)
+	v.streams = resume.NewTable(state.Builds.Life(), resume.Capacity)
 	v.Forwarder = calls.New(calls.Config{Send: v.sendCall})
 	v.census.AwaitServices = true
 	if v.book.Layout != nil {
