--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -210,55 +211,55 @@
 	return f
 }
 
-// Due returns the endpoints to probe now with a new connection each. The outcome is recorded by Succeed or Fail.
+// Due returns the endpoints to probe now with a new connection each: one of a service that is cut off, the one that was not probed for longest,
+// and single ones that are lost or suspected. The outcome is recorded by Succeed or Fail.
 func (m *Map) Due(now ident.Time) []Target {
 	if !m.doubtful {
 		return nil
 	}
-	var list []Target
-	singles := 0
-	paths := m.sorted()
 	m.doubtful = false
-	for _, p := range paths {
-		if p.probing && now.Sub(p.triedAt) > probeLimit {
-			p.probing = false
-		}
-		if p.probing {
-			singles++
-		}
-		m.doubtful = m.doubtful || p.probing || p.lost || p.suspected || m.CutOff(p.Service)
-	}
-	for _, p := range paths {
-		v := m.serviceOf(p.Service)
+	probing := 0
+	longest := map[ident.Service]*path{} // of services that are cut off
+	var singles []*path
+	for _, p := range m.paths {
+		cutOff := m.CutOff(p.Service)
+		m.doubtful = m.doubtful || p.probing || p.lost || p.suspected || cutOff
+		p.probing = p.probing && now.Sub(p.triedAt) <= probeLimit
 		switch {
 		case p.probing:
-			continue
-		case v.lost:
-			if now.Sub(v.probedAt) < probeInterval || m.probesSooner(p) {
-				continue
+			probing++
+		case cutOff:
+			if best := longest[p.Service]; best == nil || p.before(best) {
+				longest[p.Service] = p
 			}
+		case p.suspected || (p.lost && now.Sub(p.triedAt) >= retryInterval):
+			singles = append(singles, p)
+		}
+	}
+	slices.SortFunc(singles, (*path).compare)
+	due := singles[:min(len(singles), max(0, maxProbes-probing))]
+	for _, s := range slices.Sorted(maps.Keys(longest)) {
+		if v := m.services[s]; now.Sub(v.probedAt) >= probeInterval {
 			v.probedAt = now
-		case singles >= maxProbes, !p.suspected && (!p.lost || now.Sub(p.triedAt) < retryInterval):
-			continue
-		default:
-			singles++
+			due = append(due, longest[s])
 		}
+	}
+	var list []Target
+	for _, p := range due {
 		p.probing, p.suspected, p.triedAt = true, false, now
 		list = append(list, p.Target)
 	}
 	return list
 }
 
-// probesSooner reports whether another endpoint of the same service was not probed for longer.
-func (m *Map) probesSooner(p *path) bool {
-	for _, other := range m.paths {
-		if other.Service == p.Service && !other.probing && other.triedAt < p.triedAt {
-			return true
-		}
-	}
-	return false
+// before reports whether a path was not probed for longer than another one.
+func (p *path) before(other *path) bool {
+	return p.triedAt < other.triedAt || (p.triedAt == other.triedAt && p.compare(other) < 0)
 }
 
+// compare orders paths by their endpoints.
+func (p *path) compare(other *path) int { return p.Instance.Compare(other.Instance) }
+
 // Forget drops endpoints that have not been used for long.
 func (m *Map) Forget(now ident.Time) {
 	for i, p := range m.paths {
@@ -283,8 +284,6 @@
 	for _, p := range m.paths {
 		list = append(list, p)
 	}
-	slices.SortFunc(list, func(a, b *path) int {
-		return cmp.Or(cmp.Compare(a.Instance.ID, b.Instance.ID), cmp.Compare(a.Instance.Born, b.Instance.Born))
-	})
+	slices.SortFunc(list, (*path).compare)
 	return list
 }
--- a/io/reach/gate.go
+++ b/io/reach/gate.go
@@ -81,9 +81,13 @@
 	}
 	c.mu.Lock()
 	news, f := c.gate.Note(t.Instance, said, own, clock.Boot()), c.onSaid
-	bad := said.Bad != "" && c.badFrom != t.Instance
+	_, logged := c.badFrom[t.Instance]
+	bad := said.Bad != "" && !logged
 	if bad {
-		c.badFrom = t.Instance
+		if len(c.badFrom) >= maxBadLogged {
+			clear(c.badFrom)
+		}
+		c.badFrom[t.Instance] = struct{}{}
 	}
 	c.mu.Unlock()
 	if news || bad {
@@ -95,6 +99,9 @@
 	}
 }
 
+// maxBadLogged is the number of endpoints whose values that were not understood are logged once each.
+const maxBadLogged = 1000
+
 // heldResult returns the head of the reply to a relayed request that this host must not send, and false if err is another error.
 func heldResult(err error) (relayHead, bool) {
 	var held *HeldError
--- a/io/reach/reach.go
+++ b/io/reach/reach.go
@@ -71,7 +71,7 @@
 	relays   *reach.Relays
 	gate     *heed.Gate
 	onSaid   func(reach.Target, heed.Said)
-	badFrom  ident.Instance // the endpoint whose value was last logged as not understood
+	badFrom  map[ident.Instance]struct{} // endpoints whose values were logged as not understood
 	faults   reach.Faults
 	onFaults func()
 	list     Lister
@@ -103,7 +103,7 @@
 
 // New returns a client that has lost no path.
 func New(common logs.Common, c Config) *Client {
-	r := &Client{Common: common, Config: c, paths: reach.New(), gate: heed.NewGate(), relays: reach.NewRelays(), listed: make(chan struct{}), open: map[*openSend]struct{}{}}
+	r := &Client{Common: common, Config: c, paths: reach.New(), gate: heed.NewGate(), badFrom: map[ident.Instance]struct{}{}, relays: reach.NewRelays(), listed: make(chan struct{}), open: map[*openSend]struct{}{}}
 	r.dial, r.hosts = dial.New(dial.Config{Open: c.Open}), dial.New(dial.Config{})
 	return r
 }
--- a/io/reach/relay.go
+++ b/io/reach/relay.go
@@ -109,6 +109,11 @@
 		}
 		return nil, relayDown, &dial.Error{Step: "relay", Peer: string(via.Host), Err: err}
 	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Abort()
+		c.endRelayFailed(via)
+		return nil, relayRefused, &dial.Error{Step: "relay", Peer: string(via.Host), Err: fmt.Errorf("%w: HTTP status %d", errRefused, resp.StatusCode)} // a host of an earlier release
+	}
 	head, err := readHead(resp)
 	if err != nil {
 		resp.Abort()
@@ -178,7 +183,7 @@
 		return head, fmt.Errorf("read reply: %w", err)
 	}
 	n := binary.BigEndian.Uint32(size[:])
-	if resp.StatusCode != http.StatusOK || n > maxHeadBytes {
+	if n > maxHeadBytes {
 		return head, errBadReply
 	}
 	data := make([]byte, n)
--- a/io/reach/relay_test.go
+++ b/io/reach/relay_test.go
@@ -177,6 +177,7 @@
 		"the next one is not down": {serveOK, down, true, false, false, true, false, 1},
 		"a relay that drains":      {serveOK, draining, true, false, false, true, false, 1},
 		"a relay at its limit":     {serveOK, full, true, false, false, true, false, 1},
+		"a host that can't relay":  {serveOK, earlier, true, false, false, true, false, 1},
 		"a relay that is killed":   {hang, nil, true, true, true, false, false, 1},
 		"an answer that breaks":    {breakOff, nil, true, false, true, true, false, 1},
 	} {
@@ -236,6 +237,13 @@
 	return []reach.Relay{{Host: ident.HostID(l.Addr().String())}}
 }
 
+// earlier returns a host of an earlier release, which takes links only.
+func earlier(t *testing.T) []reach.Relay {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no link", http.StatusUpgradeRequired) }))
+	t.Cleanup(s.Close)
+	return []reach.Relay{{Host: ident.HostID(s.Listener.Addr().String())}}
+}
+
 func draining(t *testing.T) []reach.Relay {
 	c, r := newClient(t, nil)
 	c.Drain()
