Name the service of an engine in orders and reports, so that a leader without a path picks relays that have one

Cause: found by reading. The leader kept its paths under no service, while entry hosts name the services that they are cut off from, so it could pick a deputy or a relay that is cut off itself. And a value of Server-Brittle that was not understood was logged with each answer. Change: orders and targets carry the service; deputies that lack the engine or its service are left out; a bad value is logged once for each endpoint.

--- a/core/grant/grant.go
+++ b/core/grant/grant.go
@@ -161,6 +161,7 @@
 // Order is a load or unload command to an engine.
 type Order struct {
 	Instance ident.Instance
+	Service  ident.Service
 	Address  string
 	Load     bool // false for an unload
 	Ref      book.AdapterRef
@@ -226,6 +227,7 @@
 // Target is an engine with its address.
 type Target struct {
 	Instance ident.Instance
+	Service  ident.Service
 	Address  string
 }
 
--- a/core/grant/orders.go
+++ b/core/grant/orders.go
@@ -31,7 +31,7 @@
 // sendOrder sends an order with the engine's expected order count and marks it as pending.
 func (t *Authority) sendOrder(e *engine, o Order, now ident.Time) {
 	t.takeSend(e.entry.Instance, OrderSend, now)
-	o.Instance, o.Address, o.Expect = e.entry.Instance, e.entry.Address, e.acceptedOrders
+	o.Instance, o.Service, o.Address, o.Expect = e.entry.Instance, e.entry.Service, e.entry.Address, e.acceptedOrders
 	e.orderPending = true
 	if s := e.slots[o.Ref]; s != nil && !o.Load {
 		s.unloading = true
--- a/core/grant/poison.go
+++ b/core/grant/poison.go
@@ -195,7 +195,7 @@
 			q.probing = true
 			q.probes++
 			t.takeSend(i, ProbeSend, now)
-			t.effects.Probes = append(t.effects.Probes, Target{Instance: i, Address: e.entry.Address})
+			t.effects.Probes = append(t.effects.Probes, Target{Instance: i, Service: e.entry.Service, Address: e.entry.Address})
 		}
 	}
 }
--- a/core/grant/reports.go
+++ b/core/grant/reports.go
@@ -19,7 +19,7 @@
 		t.takeSend(e.entry.Instance, ReportSend, now)
 		e.reportRequestedAt, e.reportPending = now, true
 		t.pendingReports++
-		t.effects.Reports = append(t.effects.Reports, Target{Instance: e.entry.Instance, Address: e.entry.Address})
+		t.effects.Reports = append(t.effects.Reports, Target{Instance: e.entry.Instance, Service: e.entry.Service, Address: e.entry.Address})
 	}
 }
 
--- a/core/heed/brittle.go
+++ b/core/heed/brittle.go
@@ -128,10 +128,13 @@
 // Table holds what endpoints said to one host.
 type Table struct {
 	brittle map[ident.Instance]*seenBrittle
+	bad     map[ident.Instance]struct{} // endpoints whose values were not understood
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{brittle: map[ident.Instance]*seenBrittle{}} }
+func NewTable() *Table {
+	return &Table{brittle: map[ident.Instance]*seenBrittle{}, bad: map[ident.Instance]struct{}{}}
+}
 
 // Note records what an answer says. It returns whether that is news, and whether the authority should be told.
 func (t *Table) Note(i ident.Instance, number Brittle, named bool, now ident.Time) (changed, report bool) {
@@ -153,6 +156,19 @@
 	return changed, report
 }
 
+// FirstBad reports whether a value of an endpoint that was not understood is the first one, which is logged.
+func (t *Table) FirstBad(i ident.Instance) bool {
+	_, known := t.bad[i]
+	if len(t.bad) >= maxBad {
+		clear(t.bad)
+	}
+	t.bad[i] = struct{}{}
+	return !known
+}
+
+// maxBad is the number of endpoints that are remembered for values that were not understood.
+const maxBad = 1000
+
 // Brittle reports whether an endpoint said to this host that it is brittle.
 func (t *Table) Brittle(i ident.Instance) bool { return t.brittle[i] != nil }
 
--- a/io/front/heed.go
+++ b/io/front/heed.go
@@ -25,9 +25,10 @@
 	if v.NotRun && isFull(status) {
 		ex.heed.Rejected(i, ex.entryHosts, now)
 	}
+	firstBad := v.BadHeader != "" && ex.heed.FirstBad(i)
 	leader := ex.leader
 	ex.mu.Unlock()
-	if changed || v.BadHeader != "" {
+	if changed || firstBad {
 		ex.logDecision("brittle", i.ID, map[bool]string{true: "named", false: "ended"}[v.IsBrittle], fmt.Sprintf("number=%g bad=%s status=%d", float64(v.Brittle), v.BadHeader, status))
 	}
 	if !tell || leader == "" {
--- a/io/voter/relays.go
+++ b/io/voter/relays.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 
 	"shallotgap/core/census"
 	"shallotgap/core/grant"
@@ -56,10 +57,10 @@
 // chooseHolder returns which machine sends an order: this host, or a relay if it has lost its path to the engine.
 func (v *Voter) chooseHolder(o grant.Order, now ident.Time) (corereach.Holder, bool) {
 	holders := v.leadership.holders
-	direct := v.Paths == nil || v.Paths.Direct(corereach.Target{Instance: o.Instance, Address: o.Address})
+	direct := v.Paths == nil || v.Paths.Direct(corereach.Target{Instance: o.Instance, Service: o.Service, Address: o.Address})
 	var relays []corereach.Relay
 	if !direct || holders.HasDeputy(o.Instance) {
-		relays = v.relaysFor(v.Self, v.Domain, v.Paths.Faults(), now)
+		relays = slices.DeleteFunc(v.relaysFor(v.Self, v.Domain, v.Paths.Faults(), now), func(r corereach.Relay) bool { return r.Without.Lacks(o.Instance, o.Service) })
 	}
 	return holders.Choose(o.Instance, direct, relays, now)
 }
@@ -67,6 +68,6 @@
 // learnPath adds an engine to those by which this host finds out whether it has any path.
 func (v *Voter) learnPath(e census.Entry) {
 	if v.Paths != nil && e.State == census.Ready && !v.isPlain(e.Service) {
-		v.Paths.Learn([]corereach.Target{{Instance: e.Instance, Address: e.Address}})
+		v.Paths.Learn([]corereach.Target{{Instance: e.Instance, Service: e.Service, Address: e.Address}})
 	}
 }
