Notice lost paths by requests whose time is shorter than that of a connection

Cause: found by reading. A request that ended by its deadline while its connection was being opened told nothing of the path, so a host whose callers wait for less than 0.4 s noticed a silent cut only by chance. Change: such a request has the path probed, if nothing has arrived from any endpoint for 0.3 s. Result: ShortRequestsNoticeLostPath failed before (2 s) and passes.

--- a/io/reach/paths.go
+++ b/io/reach/paths.go
@@ -33,7 +33,7 @@
 func (c *Client) due(now ident.Time) []reach.Target {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	quiet := now.Sub(ident.Time(c.heard.Load())) > silenceLimit
+	quiet := c.isQuiet(now)
 	for s := range c.open {
 		if silence := now.Sub(ident.Time(s.heardAt.Load())); silence > longSilence || (quiet && silence > silenceLimit) {
 			c.paths.Suspect(s.Target, now)
@@ -44,6 +44,18 @@
 	return c.paths.Due(now)
 }
 
+// isQuiet reports whether nothing has arrived from any endpoint for a while.
+func (c *Client) isQuiet(now ident.Time) bool {
+	return now.Sub(ident.Time(c.heard.Load())) > silenceLimit
+}
+
+// suspect has the path to an endpoint probed.
+func (c *Client) suspect(t reach.Target) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.paths.Suspect(t, clock.Boot())
+}
+
 // probe opens a connection to an endpoint and keeps it for the next request.
 func (c *Client) probe(ctx context.Context, t reach.Target) {
 	err := c.dial.Probe(ctx, Key(t.Instance), t.Address)
--- a/io/reach/reach.go
+++ b/io/reach/reach.go
@@ -168,13 +168,13 @@
 	case err == nil:
 		c.succeed(r.Target)
 		c.note(r.Target, resp.StatusCode, resp.Header, true)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && c.isQuiet(clock.Boot()):
+		c.suspect(r.Target) // the time of a request may be shorter than that of a connection
 	case ctx.Err() != nil:
 	case isConnectError(err):
 		c.fail(r.Target, err)
 	default:
-		c.mu.Lock()
-		c.paths.Suspect(r.Target, clock.Boot())
-		c.mu.Unlock()
+		c.suspect(r.Target)
 	}
 	return resp, err
 }
--- a/io/reach/relay_test.go
+++ b/io/reach/relay_test.go
@@ -335,6 +335,24 @@
 	}, poll.WithTimeout(2*time.Second))
 }
 
+// A lost path is noticed although the time of each request is shorter than that of a connection.
+func TestShortRequestsNoticeLostPath(t *testing.T) {
+	hung := func(ctx context.Context, _, _ string) (net.Conn, error) { <-ctx.Done(); return nil, ctx.Err() }
+	e := newEndpoint(t, "e1", serveOK)
+	c, _ := newClient(t, hung)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = c.Run(ctx) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		short, end := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer end()
+		if _, err := c.Do(short, e.request("")); errors.Is(err, ErrNoPath) {
+			return poll.Success()
+		}
+		return poll.Continue("the path does not count as lost yet")
+	}, poll.WithTimeout(2*time.Second))
+}
+
 // BenchmarkSend compares a direct request with one through a relay.
 func BenchmarkSend(b *testing.B) {
 	for name, open := range map[string]dial.Opener{"direct": nil, "relayed": refused} {
