--- a/io/reach/relay_test.go
+++ b/io/reach/relay_test.go
@@ -338,7 +338,7 @@
 // A lost path is noticed although the time of each request is shorter than that of a connection.
 func TestShortRequestsNoticeLostPath(t *testing.T) {
 	hung := func(ctx context.Context, _, _ string) (net.Conn, error) { <-ctx.Done(); return nil, ctx.Err() }
-	e := newEndpoint(t, "e1", serveOK)
+	endpoints := []*endpoint{newEndpoint(t, "e1", serveOK), newEndpoint(t, "e2", serveOK)}
 	c, _ := newClient(t, hung)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -346,10 +346,15 @@
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		short, end := context.WithTimeout(ctx, 50*time.Millisecond)
 		defer end()
-		if _, err := c.Do(short, e.request("")); errors.Is(err, ErrNoPath) {
+		for _, e := range endpoints {
+			if resp, err := c.Do(short, e.request("")); err == nil {
+				resp.Abort()
+			}
+		}
+		if c.CutOff("s") {
 			return poll.Success()
 		}
-		return poll.Continue("the path does not count as lost yet")
+		return poll.Continue("the service does not count as cut off yet")
 	}, poll.WithTimeout(2*time.Second))
 }
 
