--- a/io/front/permit.go
+++ b/io/front/permit.go
@@ -173,8 +173,8 @@
 	}
 }
 
-// shareRetry is the time between two looks at this host's share: a part of the time that short requests take.
-const shareRetry = 10 * time.Millisecond
+// shareRetry is the time between two looks at this host's share: a small part of the time that short requests take.
+const shareRetry = 3 * time.Millisecond
 
 // permitFromShare permits a send from this host's share of the limits, which is safe if all hosts use theirs.
 func (f *Front) permitFromShare(a grant.Ask) grant.Reply {
