Hold a request back until it is known whether an engine has crashed under it

Cause: a broken stream counts against its request only once the leader has probed the engine and judged the break. In the meantime nothing holds the next equal request back, and entry hosts name a whole request to the leader only after two crashes are in the replicated table. Since refused probes are confirmed by another host (RECOVER), they take longer than the 300 ms between two tries on a busy machine.

--- a/core/grant/crash_test.go
+++ b/core/grant/crash_test.go
@@ -165,3 +165,67 @@
 		})
 	}
 }
+
+// Between the break of a stream and the verdict on its engine, the same request went on to the next engines and crashed them too.
+func TestRequestWaitsForVerdictOnItsEngine(t *testing.T) {
+	cases := map[string]struct {
+		probe grant.ProbeResult
+		parts []poison.Part
+		waits bool
+	}{
+		"the engine has crashed": {probe: grant.Refused, parts: crashParts, waits: true},
+		"it goes on":             {probe: grant.Alive, parts: crashParts, waits: true},
+		"it is not clear":        {probe: grant.Unclear, parts: crashParts, waits: true},
+		"another request":        {probe: grant.Refused, parts: []poison.Part{"request-c"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := newPoisonSim(t, 6)
+			p.probe = func(*simEngine) grant.ProbeResult { return c.probe }
+			p.probeTime = 700 * time.Millisecond
+			broken := false
+			p.answer = func(a grant.Ask) streamEnd {
+				if len(a.Whole) == 0 || broken {
+					return whole
+				}
+				broken = true
+				return lost
+			}
+			p.load(50, 5*time.Second, func() string { return "topic" })
+			p.run(3 * time.Second)
+			p.requestWhole("topic", crashParts)
+			p.run(400 * time.Millisecond)
+			assert.Assert(t, broken)
+			p.requestWhole("topic", c.parts)
+			id := grant.ID(fmt.Sprint(p.nextID))
+			p.run(150 * time.Millisecond)
+			assert.Equal(t, p.runs[id] == nil, c.waits, "before the verdict")
+			p.run(time.Second)
+			assert.Assert(t, p.runs[id] != nil, "after it")
+		})
+	}
+}
+
+// The same request comes every 300 ms and crashes each engine that runs it; probes take longer than that, as they do on a busy machine and
+// through another host.
+func TestThirdCrashIsTheLastWithSlowProbes(t *testing.T) {
+	for _, probeTime := range []time.Duration{simTick, 200 * time.Millisecond, 350 * time.Millisecond, 700 * time.Millisecond} {
+		t.Run(probeTime.String(), func(t *testing.T) {
+			p := newPoisonSim(t, 12)
+			p.probeTime = probeTime
+			p.answer = func(a grant.Ask) streamEnd {
+				if len(a.Whole) > 0 {
+					return crash
+				}
+				return whole
+			}
+			p.load(50, 12*time.Second, func() string { return "topic" })
+			p.run(2 * time.Second)
+			for n := range 30 {
+				p.after(time.Duration(n)*300*time.Millisecond, func() { p.requestWhole("topic", crashParts) })
+			}
+			p.run(10 * time.Second)
+			assert.Equal(t, p.crashes, 3)
+		})
+	}
+}
--- a/core/grant/poison.go
+++ b/core/grant/poison.go
@@ -264,8 +264,8 @@
 // holdBack keeps a waiting request from the engines if its parts are blocked or suspected, and reports whether it did. A suspect runs
 // one request at a time, at an engine without another suspect, so that the next crash tells them apart.
 func (t *Authority) holdBack(w *waiter, now ident.Time) bool {
-	if w.ask.Sends > 0 && t.hasUnwritten(w.ask, now) && t.inquiring(w.ask) {
-		return true // it is sent on only once it is known whether its engine crashed
+	if t.awaitsVerdict(w.ask, now) {
+		return true
 	}
 	suspects, blocked := t.suspectsOf(w.ask, now)
 	w.suspects = suspects
@@ -294,12 +294,18 @@
 	return false
 }
 
-// inquiring reports whether it is not known yet whether an engine at which a request failed has crashed. After a probe without a clear
-// answer the request waits no longer.
-func (t *Authority) inquiring(a Ask) bool {
+// awaitsVerdict reports whether it is not known yet whether an engine has crashed at which the request failed, or an equal one, or one with a
+// shared part that no engine has written on. After a probe without a clear answer the request waits no longer.
+func (t *Authority) awaitsVerdict(a Ask, now ident.Time) bool {
 	for i, q := range t.inquiries {
-		for _, id := range a.Avoid {
-			if i.ID == id && !q.closed && (q.crashed || !q.unclear) {
+		if q.closed || (q.unclear && !q.crashed) {
+			continue
+		}
+		if a.Sends > 0 && slices.Contains(a.Avoid, i.ID) && t.hasUnwritten(a, now) {
+			return true
+		}
+		for _, b := range q.requests {
+			if sharesAny(a.Whole, b.whole) || t.sharesUnwritten(a, b.ask, now) {
 				return true
 			}
 		}
@@ -307,6 +313,16 @@
 	return false
 }
 
+func sharesAny(a, b []poison.Part) bool {
+	return slices.ContainsFunc(a, func(p poison.Part) bool { return slices.Contains(b, p) })
+}
+
+// sharesUnwritten reports whether two requests share a part of their prompts that no engine has written on lately.
+func (t *Authority) sharesUnwritten(a, b Ask, now ident.Time) bool {
+	others := SharedParts(b.Parts)
+	return slices.ContainsFunc(SharedParts(a.Parts), func(p poison.Part) bool { return slices.Contains(others, p) && !t.written.Has(p, now) })
+}
+
 // suspectsBusy reports whether a request must wait for another one with a suspected part to end.
 func (t *Authority) suspectsBusy(w *waiter, now ident.Time) bool {
 	for _, p := range w.suspects {
--- a/core/grant/poison_test.go
+++ b/core/grant/poison_test.go
@@ -30,6 +30,8 @@
 	// answer tells what happens to a stream when its engine begins to answer, probe what a probe of an engine finds.
 	answer func(a grant.Ask) streamEnd
 	probe  func(e *simEngine) grant.ProbeResult
+	// probeTime is how long a probe takes, 0 for simTick.
+	probeTime time.Duration
 }
 
 // poisonRun is a stream on an engine.
@@ -75,12 +77,16 @@
 }
 
 // request sends a request whose prompt holds a shared part, a topic and a part of its own.
-func (p *poisonSim) request(topic string) {
+func (p *poisonSim) request(topic string) { p.requestWhole(topic, nil) }
+
+// requestWhole sends a request that is recognized as a whole by its parts.
+func (p *poisonSim) requestWhole(topic string, whole []poison.Part) {
 	p.nextID++
 	a := grant.Ask{
 		ID: grant.ID(fmt.Sprint(p.nextID)), Request: fmt.Sprint(p.nextID), Domain: "north", Service: service, Target: time.Second, Left: 5 * time.Second,
 		Ref: book.AdapterRef{Model: "base", Adapter: ident.Adapter(fmt.Sprint("a", p.rand.IntN(8)))}, Prompt: 800, Output: 100,
 		Parts: []grant.Part{{ID: "system", Tokens: 300}, {ID: topic, Tokens: 300}, {ID: fmt.Sprint("own", p.nextID), Tokens: 200}},
+		Whole: whole,
 	}
 	p.soundAsked[topic]++
 	p.asks[a.ID] = a
@@ -116,7 +122,7 @@
 	}
 	for _, t := range e.Probes {
 		engine := p.byInstance(t.Instance)
-		p.after(simTick, func() { p.auth.ApplyProbe(t.Instance, p.probe(engine), p.now) })
+		p.after(max(simTick, p.probeTime), func() { p.auth.ApplyProbe(t.Instance, p.probe(engine), p.now) })
 	}
 	for _, r := range e.Replies {
 		if r.Reply.Place != nil {
@@ -164,7 +170,7 @@
 		case cut:
 			p.endRun(run, grant.End{Outcome: grant.Failed, Broken: true, Begun: true})
 		case lost:
-			p.endRun(run, grant.End{Outcome: grant.Failed, Broken: true})
+			p.endRun(run, grant.End{Outcome: grant.Failed, Broken: true, Whole: a.Whole})
 		case silenced:
 			p.after(1200*time.Millisecond, func() { p.endRun(run, grant.End{Outcome: grant.Failed}) })
 		case whole:
@@ -213,7 +219,7 @@
 			if run.begunAt != 0 {
 				wrote = p.now.Sub(run.begunAt)
 			}
-			end := grant.End{ID: run.ask.ID, Outcome: grant.Failed, Broken: true, Begun: run.begunAt != 0, Wrote: wrote}
+			end := grant.End{ID: run.ask.ID, Outcome: grant.Failed, Broken: true, Begun: run.begunAt != 0, Wrote: wrote, Whole: run.ask.Whole}
 			p.after(time.Duration(1+p.rand.IntN(15))*time.Millisecond, func() { p.auth.End(end, p.now) })
 		}
 	}
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -35,7 +35,7 @@
 	a := grant.Ask{
 		Request: ex.call.ID, Service: ex.service.Name, Ref: ex.call.Ref, Prompt: ex.call.Prompt, Output: ex.call.Output, Parts: ex.call.Parts,
 		Priority: ex.route.Priority, Target: ex.route.Target, Gap: ex.route.MaxGap,
-		Resumable: ex.route.Resumable,
+		Resumable: ex.route.Resumable, Whole: ex.wholeParts(),
 	}
 	events := &eventStream{exchange: ex, lastID: ex.call.LastEventID}
 	runs := 0
@@ -47,9 +47,6 @@
 		a.Silence = events.silenceLeft(clock.Boot())
 		a.Sends = ex.sends
 		a.Bound, a.Build = ex.bound, ex.build
-		if ex.crashesKnown() {
-			a.Whole = ex.wholeParts()
-		}
 		req, reply := ex.awaitGrant(ctx, a)
 		if reply.Place == nil {
 			ex.fail(string(reply.Cause), reply.After)
