Count a send to a brittle endpoint as running when its place is given

Cause: permitFromShare decided under the lock that a place of this host was free, but the send was counted under a later lock, so all requests that looked in between got the same place; four rejections in a second end the endpoint. Now the send counts as running in the same step.

--- a/core/grant/grant.go
+++ b/core/grant/grant.go
@@ -53,8 +53,8 @@
 	// Permit lists endpoints of a plain service with limits, one of which may be sent the request; empty for a request for a model.
 	// The request waits for at most Left.
 	Permit []ident.Instance `json:"permit,omitempty"`
-	// Whole are the parts that stand for the whole request. They are set while endpoints have crashed lately; a request for a plain
-	// service that is suspected needs a permit.
+	// Whole are the parts that stand for the whole request; always set for a stream. A request for a plain service has them once it is
+	// suspected, as it needs a permit then.
 	Whole []poison.Part `json:"whole,omitempty"`
 	// Resumable is true for a stream that may go on at another endpoint of the build that began it.
 	Resumable bool `json:"resumable,omitempty"`
--- a/io/front/permit.go
+++ b/io/front/permit.go
@@ -109,7 +109,7 @@
 	if len(a.Permit) == 0 {
 		return choice{}
 	}
-	reply := ex.awaitPermit(ctx, a)
+	reply, begun := ex.awaitPermit(ctx, a)
 	now := clock.Boot()
 	ex.mu.Lock()
 	if len(whole) == 0 {
@@ -123,7 +123,9 @@
 	if reply.Place != nil {
 		for _, e := range list {
 			if e.Instance == reply.Place.Instance {
-				ex.picker.Begin(e, now)
+				if !begun {
+					ex.picker.Begin(e, now)
+				}
 				c := choice{endpoint: e, found: true}
 				if reply.Place.Watch {
 					c.watched = reply.ID
@@ -135,15 +137,16 @@
 	return choice{cause: reply.Cause, retryAfter: reply.After}
 }
 
-// awaitPermit asks the authority for a permit and waits for the reply.
-func (f *Front) awaitPermit(ctx context.Context, a grant.Ask) grant.Reply {
+// awaitPermit asks the authority for a permit and waits for the reply. begun is true if the send counts as running at the endpoint already.
+func (f *Front) awaitPermit(ctx context.Context, a grant.Ask) (reply grant.Reply, begun bool) {
 	start := clock.Boot()
 	defer func() { f.Meter.ObserveDuration("shallotgap_permit_wait_seconds", clock.Boot().Sub(start)) }()
 	f.mu.Lock()
 	leaderless := f.leader == ""
 	f.mu.Unlock()
 	if leaderless {
-		return f.awaitShare(ctx, a)
+		reply = f.awaitShare(ctx, a)
+		return reply, reply.Place != nil
 	}
 	req := f.openGrantRequest(a)
 	timer := time.NewTimer(a.Left + permitTimeout)
@@ -151,13 +154,14 @@
 	select {
 	case r := <-req.reply:
 		f.closeGrantRequest(req)
-		return r
+		return r, false
 	case <-ctx.Done():
 		f.withdraw(req)
-		return grant.Reply{ID: a.ID, Cause: grant.TooLate}
+		return grant.Reply{ID: a.ID, Cause: grant.TooLate}, false
 	case <-timer.C:
 		f.withdraw(req)
-		return f.permitFromShare(a)
+		reply = f.permitFromShare(a)
+		return reply, reply.Place != nil
 	}
 }
 
@@ -176,7 +180,8 @@
 // shareRetry is the time between two looks at this host's share: a small part of the time that short requests take.
 const shareRetry = 3 * time.Millisecond
 
-// permitFromShare permits a send from this host's share of the limits, which is safe if all hosts use theirs.
+// permitFromShare permits a send from this host's share of the limits, which is safe if all hosts use theirs. The send counts as running at
+// once, so that no other one gets the same place.
 func (f *Front) permitFromShare(a grant.Ask) grant.Reply {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -186,7 +191,11 @@
 	}
 	shortest := time.Duration(0)
 	for _, i := range a.Permit {
-		if e, known := f.census.Get(i.ID); known && !f.shareOf(i, e.Slots, f.picker.Running(e)) {
+		e, known := f.census.Get(i.ID)
+		if !known || e.Instance != i {
+			continue
+		}
+		if !f.shareOf(i, e.Slots, f.picker.Running(e)) {
 			if shortest == 0 {
 				shortest = failedRetryAfter
 			}
@@ -194,6 +203,7 @@
 		}
 		wait := f.limits.takeShare(i, f.entryHosts, now)
 		if wait == 0 {
+			f.picker.Begin(e, now)
 			return grant.Reply{Place: &grant.Place{Instance: i}}
 		}
 		if shortest == 0 || wait < shortest {
