--- a/io/front/grants.go
+++ b/io/front/grants.go
@@ -47,7 +47,9 @@
 	grantedBy ident.HostID // the leader that granted the engine; empty for one that this host chose without a leader
 	// uncertain is true for an engine that may have started again as another build and was not verified.
 	uncertain bool
-	reply     chan grant.Reply
+	// busy is true if all places of this host at a brittle engine were taken when it last looked for one without a leader.
+	busy  bool
+	reply chan grant.Reply
 	// promptRead is true once the first event has arrived: the engine has finished the prefill.
 	promptRead atomic.Bool
 	// wroteFor is how long the engine has sent events, as a time.Duration.
@@ -78,7 +80,7 @@
 func (f *Front) awaitGrant(ctx context.Context, a grant.Ask) (*grantRequest, grant.Reply) {
 	req := f.openGrantRequest(a)
 	if f.longLeaderless() {
-		return req, f.grantWithoutAuthority(req)
+		return req, f.grantWithoutAuthority(ctx, req)
 	}
 	timer := time.NewTimer(grantResendInterval)
 	defer timer.Stop()
@@ -112,13 +114,20 @@
 	return f.LeaderlessFor(clock.Boot()) > longWithoutAuthority
 }
 
-// grantWithoutAuthority grants the fallback engine or rejects the request, both at once.
-func (f *Front) grantWithoutAuthority(req *grantRequest) grant.Reply {
-	if r, ok := f.fallbackGrant(req); ok {
-		return r
+// grantWithoutAuthority grants the fallback engine or rejects the request, both at once. It waits a while for a place at a brittle engine only,
+// as this host's places become free one after the other.
+func (f *Front) grantWithoutAuthority(ctx context.Context, req *grantRequest) grant.Reply {
+	end := req.openedAt.Add(req.msg.Left / noAuthorityDivisor)
+	for {
+		if r, ok := f.fallbackGrant(req); ok {
+			return r
+		}
+		if !req.busy || ctx.Err() != nil || clock.Boot() > end {
+			f.withdraw(req)
+			return grant.Reply{ID: req.msg.ID, Cause: grant.NoAuthority, After: noAuthorityRetryAfter}
+		}
+		pause(ctx, shareRetry)
 	}
-	f.withdraw(req)
-	return grant.Reply{ID: req.msg.ID, Cause: grant.NoAuthority, After: noAuthorityRetryAfter}
 }
 
 // authorityTimedOut reports whether a grant request has waited without an authority for so long that it should fail.
@@ -259,6 +268,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	waited := clock.Boot().Sub(req.openedAt) >= fallbackAfter || f.longLeaderless()
+	req.busy = false
 	if f.leader != "" || req.place != nil || req.msg.Sends > 0 || !waited {
 		return grant.Reply{}, false
 	}
@@ -287,7 +297,8 @@
 	if _, held := f.Paths.Held(reach.Target{Instance: p.Instance, Service: req.msg.Service, Address: p.Address}); held {
 		return grant.Reply{}, false
 	}
-	if f.heed.Brittle(p.Instance) && !f.engineShare(req.msg.Service, p.Instance) {
+	req.busy = f.heed.Brittle(p.Instance) && !f.engineShare(req.msg.Service, p.Instance)
+	if req.busy {
 		return grant.Reply{}, false
 	}
 	if wait := f.limits.takeShare(p.Instance, f.entryHosts, now); wait > 0 {
