Check whether an engine listens when its report does not come in time, and hold equal requests back until then

Cause of further fourth crashes in the same plays (trace: two probes of one engine ended after 200 ms without a clear answer, in between the same request was granted again and crashed the next engine): since refused probes are confirmed by another host (RECOVER), the list of relays, the relay's connection and its check of other endpoints have to fit into the 200 ms of a report. Now a probe without a report is followed by a check whether the engine listens, which may take 600 ms, and a request that equals one whose stream broke waits for all probes of the inquiry, 2 s at most; a request that failed itself goes on after the first probe without an answer, as before.

--- a/core/grant/poison.go
+++ b/core/grant/poison.go
@@ -301,15 +301,18 @@
 	return false
 }
 
-// awaitsVerdict reports whether it is not known yet whether an engine has crashed at which the request failed, or an equal one, or one with a
-// shared part that no engine has written on. After a probe without a clear answer the request waits no longer.
+// awaitsVerdict reports whether it is not known yet whether an engine has crashed under the request, or under an equal one or one with a shared
+// part that no engine has written on. After a probe without a clear answer the request that failed itself waits no longer.
 func (t *Authority) awaitsVerdict(a Ask, now ident.Time) bool {
 	for i, q := range t.inquiries {
-		if q.closed || (q.unclear && !q.crashed) {
+		if q.closed {
 			continue
 		}
-		if a.Sends > 0 && slices.Contains(a.Avoid, i.ID) && t.hasUnwritten(a, now) {
-			return true
+		if a.Sends > 0 && slices.Contains(a.Avoid, i.ID) {
+			if (q.crashed || !q.unclear) && t.hasUnwritten(a, now) {
+				return true
+			}
+			continue
 		}
 		for _, b := range q.requests {
 			if sharesAny(a.Whole, b.whole) || t.sharesUnwritten(a, b.ask, now) {
--- a/io/voter/poison.go
+++ b/io/voter/poison.go
@@ -5,10 +5,12 @@
 	"crypto/rand"
 	"errors"
 	"syscall"
+	"time"
 
 	"shallotgap/core/book"
 	"shallotgap/core/grant"
 	"shallotgap/core/poison"
+	corereach "shallotgap/core/reach"
 	"shallotgap/core/wire"
 	"shallotgap/io/clock"
 	"shallotgap/io/link"
@@ -21,21 +23,16 @@
 	return list, err
 }
 
-// probe asks an engine whose streams broke for its report, to find out whether its process has ended.
+// crashCheckTimeout is how long it may take to find out whether an engine that gave no report still listens: a connection of this host, and
+// the answers of some relays.
+const crashCheckTimeout = 600 * time.Millisecond
+
+// probe finds out whether the process of an engine whose streams broke has ended.
 func (v *Voter) probe(ctx context.Context, t grant.Target) {
 	lead := v.leadership
 	v.Meter.Count("shallotgap_engine_probes_total")
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-		defer cancel()
-		_, err := v.Engines.Report(ctx, t)
-		result := grant.Unclear
-		switch {
-		case err == nil:
-			result = grant.Alive
-		case errors.Is(err, syscall.ECONNREFUSED):
-			result = grant.Refused
-		}
+		result := v.probeEngine(ctx, t)
 		v.post(func() {
 			v.Log.WithField("step", "poison").WithField("endpoint", t.Instance.ID).WithField("peer", t.Address).WithField("refused", result == grant.Refused).WithField("alive", result == grant.Alive).Info("probed")
 			if v.leadership == lead {
@@ -45,6 +42,26 @@
 	}()
 }
 
+// probeEngine asks an engine for its report. If none comes in time, it checks whether the engine still listens, as another host may not have
+// confirmed a refused connection yet.
+func (v *Voter) probeEngine(ctx context.Context, t grant.Target) grant.ProbeResult {
+	reportCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	_, err := v.Engines.Report(reportCtx, t)
+	if err == nil {
+		return grant.Alive
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) && v.Paths != nil {
+		checkCtx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+		defer cancel()
+		err = v.Paths.Check(checkCtx, corereach.Target{Instance: t.Instance, Service: t.Service, Address: t.Address})
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return grant.Refused
+	}
+	return grant.Unclear
+}
+
 // proposeCommand appends a command of the authority to the log. A command that is lost with the leadership is made again by later
 // evidence.
 func (v *Voter) proposeCommand(step string, c book.Command) {
