Find a cut out with few requests, and reject at once where no host has a path

Probes go on every 0.3 s; a second after the paths are back all are served. Also: a host that loses the paths to a service learns all endpoints that it knows for probes of the other services.

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -38,6 +38,8 @@
 	// lostEndpoints is the number of endpoints of a service that must fail in a row, with no success at another one, before the host
 	// counts as cut off from the service. One endpoint may have crashed or be silent for a moment.
 	lostEndpoints = 2
+	// hopelessEndpoints is the number of endpoints that must fail in a row before nothing is sent to the service directly any more, except probes.
+	hopelessEndpoints = 4
 	// probeInterval is the pause between probes of a service, retryInterval that between probes of a single endpoint.
 	probeInterval = 300 * time.Millisecond
 	retryInterval = time.Second
@@ -130,13 +132,13 @@
 	if !v.lost && len(v.failed) >= lostEndpoints {
 		v.lost, v.probedAt = true, now
 		news = true
-		m.suspectOthers(t.Service)
+		m.SuspectOthers(t.Service)
 	}
 	return news
 }
 
-// suspectOthers suspects the paths to endpoints of other services, as one cut mostly takes all of them.
-func (m *Map) suspectOthers(lost ident.Service) {
+// SuspectOthers suspects the paths to some endpoints of other services, as one cut mostly takes all of them.
+func (m *Map) SuspectOthers(lost ident.Service) {
 	counts := map[ident.Service]int{}
 	for _, p := range m.sorted() {
 		if p.Service != lost && !p.lost && counts[p.Service] < lostEndpoints {
@@ -146,6 +148,20 @@
 	}
 }
 
+// SuspectPeers suspects the paths to some endpoints of a service of which nothing was heard just now, after one was lost: a cut takes all of them,
+// and a host with few requests would notice it late.
+func (m *Map) SuspectPeers(s ident.Service, now ident.Time) {
+	count := 0
+	for _, p := range m.sorted() {
+		if p.Service == s && !p.lost && count < lostEndpoints {
+			count++
+			if now.Sub(max(p.reachedAt, p.triedAt)) >= suspectPause {
+				p.suspected, m.doubtful = true, true
+			}
+		}
+	}
+}
+
 // Learn records that an endpoint exists, so that it is probed while its service is lost.
 func (m *Map) Learn(t Target, now ident.Time) { m.pathOf(t, now) }
 
@@ -180,6 +196,51 @@
 	return v != nil && v.lost
 }
 
+// Hopeless reports whether the host has lost its paths to all endpoints of a service, as far as it knows: several have failed since the latest
+// success at any, or all that it knows. If it knows too few to tell, what holds for all other services holds for this one.
+func (m *Map) Hopeless(s ident.Service) bool {
+	if !m.anyLost() {
+		return false // the usual case, decided without a look at all paths
+	}
+	known := map[ident.Service]int{}
+	for _, p := range m.paths {
+		known[p.Service]++
+		if p.Service == s && !p.lost && !m.CutOff(s) {
+			return false
+		}
+	}
+	if known[s] >= lostEndpoints {
+		return m.allFail(s, known[s])
+	}
+	others := 0
+	for name, count := range known {
+		switch {
+		case name == s || count < lostEndpoints:
+		case !m.allFail(name, count):
+			return false
+		default:
+			others++
+		}
+	}
+	return others > 0
+}
+
+// anyLost reports whether the host has lost its paths to all endpoints of some service.
+func (m *Map) anyLost() bool {
+	for _, v := range m.services {
+		if v.lost {
+			return true
+		}
+	}
+	return false
+}
+
+// allFail reports whether a service counts as lost and several of its known endpoints have failed, or all.
+func (m *Map) allFail(s ident.Service, known int) bool {
+	v := m.services[s]
+	return v != nil && v.lost && len(v.failed) >= min(hopelessEndpoints, known)
+}
+
 // Others returns some endpoints of any service to which no connection has failed, those that were reached last.
 func (m *Map) Others(t Target) []Target {
 	list := slices.DeleteFunc(m.sorted(), func(p *path) bool { return p.Instance == t.Instance || p.lost })
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -72,6 +72,56 @@
 	assert.Assert(t, !m.Direct(target("a", 1), false))
 }
 
+// A host without relays gives up on a service only when several endpoints have failed, or all that it knows.
+func TestHopeless(t *testing.T) {
+	for name, c := range map[string]struct {
+		known, failed int
+		want          bool
+	}{
+		"one of one fails":       {known: 1, failed: 1},
+		"both of two fail":       {known: 2, failed: 2, want: true},
+		"two of three fail":      {known: 3, failed: 2},
+		"three of sixty fail":    {known: 60, failed: 3},
+		"several of sixty fail":  {known: 60, failed: hopelessEndpoints, want: true},
+		"none of a service fail": {known: 5},
+		"none is known":          {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := New()
+			for n := range c.known {
+				m.Learn(target("a", n), 1)
+			}
+			for n := range c.failed {
+				m.Fail(target("a", n), 2)
+			}
+			assert.Equal(t, m.Hopeless("a"), c.want)
+			m.Succeed(target("a", c.known), 3)
+			assert.Assert(t, !m.Hopeless("a"))
+		})
+	}
+}
+
+// What a host knows of other services decides for one of which it knows at most one endpoint.
+func TestHopelessByOtherServices(t *testing.T) {
+	lose := func(m *Map, s ident.Service) {
+		for n := range 2 {
+			m.Fail(target(string(s), n), 2)
+		}
+	}
+	m := New()
+	lose(m, "b")
+	assert.Assert(t, m.Hopeless("a"), "all that is known is lost")
+	m.Learn(target("a", 1), 3)
+	assert.Assert(t, !m.Hopeless("a"), "its endpoint was not tried")
+	m.Fail(target("a", 1), 4)
+	assert.Assert(t, m.Hopeless("a"))
+	m.Learn(target("c", 0), 5)
+	m.Learn(target("c", 1), 5)
+	assert.Assert(t, !m.Hopeless("a"), "another service is not lost")
+	lose(m, "c")
+	assert.Assert(t, m.Hopeless("a"))
+}
+
 // While a host is cut off from 140 endpoints, its probes are few, and the end of the cut is noticed within a second.
 func TestProbesAreFew(t *testing.T) {
 	m := New()
--- a/io/front/census.go
+++ b/io/front/census.go
@@ -67,14 +67,14 @@
 	return known && s.Engine == nil
 }
 
-// listEndpoints returns the ready endpoints of a service that this host knows.
+// listEndpoints returns the ready endpoints of a service that this host knows, or of all services; it is a reach.Lister.
 func (f *Front) listEndpoints(s ident.Service) []reach.Target {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []reach.Target
-	for _, e := range f.census.ByService(s) {
-		if e.State == census.Ready {
-			list = append(list, reach.Target{Instance: e.Instance, Service: s, Address: e.Address})
+	for _, e := range f.census.Ready() {
+		if s == "" || e.Service == s {
+			list = append(list, reach.Target{Instance: e.Instance, Service: e.Service, Address: e.Address})
 		}
 	}
 	return list
--- a/io/front/serve.go
+++ b/io/front/serve.go
@@ -68,6 +68,10 @@
 	}
 	ctx, cancel := context.WithTimeoutCause(r.Context(), ex.deadline.Sub(clock.Boot()), errDeadlinePassed)
 	defer cancel()
+	if ex.Paths.Hopeless(ex.service.Name) {
+		ex.fail(noPathCause, failedRetryAfter)
+		return
+	}
 	if !ex.bindResumed(ctx) {
 		return
 	}
--- a/io/reach/paths.go
+++ b/io/reach/paths.go
@@ -84,7 +84,17 @@
 	c.dial.CloseIdle(Key(t.Instance))
 	c.mu.Lock()
 	news := c.paths.Fail(t, clock.Boot())
+	cutOff := c.paths.CutOff(t.Service)
 	c.mu.Unlock()
+	switch {
+	case news && cutOff:
+		c.learnAll(t.Service)
+	case news:
+		c.learnService(t.Service)
+		c.mu.Lock()
+		c.paths.SuspectPeers(t.Service, clock.Boot())
+		c.mu.Unlock()
+	}
 	if news {
 		c.logPath(t, "lost", err)
 		c.publish()
@@ -156,6 +166,38 @@
 	}
 }
 
+// learnService adds all endpoints of a service that this host knows.
+func (c *Client) learnService(s ident.Service) {
+	if list := c.lister(); list != nil {
+		c.Learn(list(s))
+	}
+}
+
+// learnAll adds the endpoints of all services after the paths to one were lost, and has some of the others probed.
+func (c *Client) learnAll(lost ident.Service) {
+	list := c.lister()
+	if list == nil {
+		return
+	}
+	c.Learn(list(""))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.paths.SuspectOthers(lost)
+}
+
+func (c *Client) lister() Lister {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.list
+}
+
+// Hopeless reports whether neither this host nor one that it knows has a path to a service, as far as it knows.
+func (c *Client) Hopeless(s ident.Service) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.relays.Len() == 0 && c.paths.Hopeless(s)
+}
+
 // CutOff reports whether this host has lost its paths to all endpoints of a service.
 func (c *Client) CutOff(s ident.Service) bool {
 	c.mu.Lock()
--- a/io/reach/reach.go
+++ b/io/reach/reach.go
@@ -29,8 +29,8 @@
 
 // Config holds the settings of a client.
 type Config struct {
-	// Open opens connections to endpoints; nil for TCP.
-	Open dial.Opener
+	// Open opens connections to endpoints, OpenHost those to other hosts; nil for TCP.
+	Open, OpenHost dial.Opener
 	// Greeting returns the request that verifies that an instance of an engine serves a connection; nil if there is none.
 	Greeting func(ident.Instance) *dial.Greeting
 	// Said decodes what an answer says of its endpoint; nil if answers say nothing.
@@ -38,7 +38,7 @@
 	Meter *metric.Meter
 }
 
-// Lister returns the endpoints of a service that a host knows.
+// Lister returns the endpoints of a service that a host knows; those of all services for the empty name.
 type Lister func(ident.Service) []reach.Target
 
 // Timing of a client.
@@ -104,7 +104,7 @@
 // New returns a client that has lost no path.
 func New(common logs.Common, c Config) *Client {
 	r := &Client{Common: common, Config: c, paths: reach.New(), gate: heed.NewGate(), badFrom: map[ident.Instance]struct{}{}, relays: reach.NewRelays(), listed: make(chan struct{}), open: map[*openSend]struct{}{}}
-	r.dial, r.hosts = dial.New(dial.Config{Open: c.Open}), dial.New(dial.Config{})
+	r.dial, r.hosts = dial.New(dial.Config{Open: c.Open}), dial.New(dial.Config{Open: c.OpenHost})
 	return r
 }
 
@@ -292,12 +292,7 @@
 
 // others returns some endpoints to which this host has a path, as far as it knows.
 func (c *Client) others(t reach.Target) []reach.Target {
-	c.mu.Lock()
-	list := c.list
-	c.mu.Unlock()
-	if list != nil {
-		c.Learn(list(t.Service))
-	}
+	c.learnService(t.Service)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.paths.Others(t)
