Let a request through now and then where no path is known, and forget endpoints that have ended

Two faults of paths, found by TestNewEndpointsAfterAllEnded (virtual time: all endpoints of both services end, others start under new ids):

TestNoHostHasPath counts these: 4 of 120 requests at most are rejected later than 50 ms. 2.: an endpoint that ended without a leader was probed each second for ever, as each failed probe counted as a use of it, and the host named it as lost for ever, as what is forgotten was not told. TestEndedEndpointIsForgotten fails without the first part, the check after two minutes in the virtual run without the second.

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -71,6 +71,8 @@
 	failed   map[ident.Instance]struct{} // endpoints that failed since the latest success at any endpoint
 	lost     bool
 	probedAt ident.Time
+	// triedAt is when a request was last let through though the service counted as hopeless.
+	triedAt ident.Time
 }
 
 // Map holds the paths of one host.
@@ -125,7 +127,10 @@
 
 // Fail records that no connection to an endpoint could be made. It reports whether that is news.
 func (m *Map) Fail(t Target, now ident.Time) bool {
-	p, v := m.pathOf(t, now), m.serviceOf(t.Service)
+	p, v := m.paths[t.Instance], m.serviceOf(t.Service)
+	if p == nil || !p.probing { // a failed probe is no use, or an endpoint that has ended would be probed for ever
+		p = m.pathOf(t, now)
+	}
 	news := !p.lost
 	p.lost, p.suspected, p.probing, p.triedAt, m.doubtful = true, false, false, now, true
 	v.failed[t.Instance] = struct{}{}
@@ -196,12 +201,23 @@
 	return v != nil && v.lost
 }
 
-// Hopeless reports whether the host has lost its paths to all endpoints of a service, as far as it knows: several have failed since the latest
-// success at any, or all that it knows. If it knows too few to tell, what holds for all other services holds for this one.
-func (m *Map) Hopeless(s ident.Service) bool {
-	if !m.anyLost() {
-		return false // the usual case, decided without a look at all paths
+// Hopeless reports whether a request for a service need not be tried, as the host has lost its paths to all endpoints. One request is let through
+// each probeInterval: there may be new endpoints, which are not probed before they were sent something.
+func (m *Map) Hopeless(s ident.Service, now ident.Time) bool {
+	if !m.anyLost() || !m.allLost(s) {
+		return false
+	}
+	v := m.serviceOf(s)
+	if now.Sub(v.triedAt) < probeInterval {
+		return true
 	}
+	v.triedAt = now
+	return false
+}
+
+// allLost reports whether all endpoints of a service are lost, as far as the host knows: several have failed since the latest success at any, or
+// all that it knows. If it knows too few to tell, what holds for all other services holds for this one.
+func (m *Map) allLost(s ident.Service) bool {
 	known := map[ident.Service]int{}
 	for _, p := range m.paths {
 		known[p.Service]++
@@ -225,7 +241,7 @@
 	return others > 0
 }
 
-// anyLost reports whether the host has lost its paths to all endpoints of some service.
+// anyLost reports whether the host has lost its paths to all endpoints of some service, without a look at all paths.
 func (m *Map) anyLost() bool {
 	for _, v := range m.services {
 		if v.lost {
@@ -321,10 +337,12 @@
 // compare orders paths by their endpoints.
 func (p *path) compare(other *path) int { return p.Instance.Compare(other.Instance) }
 
-// Forget drops endpoints that have not been used for long.
-func (m *Map) Forget(now ident.Time) {
+// Forget drops endpoints that have not been used for long. It reports whether paths to some of them were lost.
+func (m *Map) Forget(now ident.Time) bool {
+	news := false
 	for i, p := range m.paths {
 		if now.Sub(p.usedAt) > retention {
+			news = news || p.lost
 			delete(m.paths, i)
 			if v := m.services[p.Service]; v != nil {
 				delete(v.failed, i)
@@ -337,6 +355,7 @@
 			delete(m.services, s)
 		}
 	}
+	return news
 }
 
 // sorted returns the paths in order, so that equal inputs lead to equal decisions.
--- a/io/reach/paths.go
+++ b/io/reach/paths.go
@@ -31,6 +31,9 @@
 
 // due returns the endpoints to probe.
 func (c *Client) due(now ident.Time) []reach.Target {
+	if c.forget(now) {
+		c.publish()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	quiet := c.isQuiet(now)
@@ -39,11 +42,17 @@
 			c.paths.Suspect(s.Target, now)
 		}
 	}
-	c.paths.Forget(now)
-	c.gate.Forget(now)
 	return c.paths.Due(now)
 }
 
+// forget drops what is over, and reports whether lost paths were among it.
+func (c *Client) forget(now ident.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gate.Forget(now)
+	return c.paths.Forget(now)
+}
+
 // isQuiet reports whether nothing has arrived from any endpoint for a while.
 func (c *Client) isQuiet(now ident.Time) bool {
 	return now.Sub(ident.Time(c.heard.Load())) > silenceLimit
@@ -191,11 +200,12 @@
 	return c.list
 }
 
-// Hopeless reports whether neither this host nor one that it knows has a path to a service, as far as it knows.
+// Hopeless reports whether a request need not be tried, as neither this host nor one that it knows has a path to the service. One request is let
+// through now and then.
 func (c *Client) Hopeless(s ident.Service) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.relays.Len() == 0 && c.paths.Hopeless(s)
+	return c.relays.Len() == 0 && c.paths.Hopeless(s, clock.Boot())
 }
 
 // CutOff reports whether this host has lost its paths to all endpoints of a service.
