Look for cuts of other services once, when the paths to one are lost

Each further endpoint that failed had two paths of each other service probed again, also of services that are not cut off: found by reading, not seen in a run. And a service of which no endpoint is known kept the time of its latest trial only until the next look, 0.1 s later. Tests of core/reach, io/reach and of lost paths in platform/hours pass.

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -351,7 +351,7 @@
 	}
 	for s, v := range m.services {
 		v.lost = v.lost && len(v.failed) > 0
-		if !v.lost && len(v.failed) == 0 {
+		if !v.lost && len(v.failed) == 0 && now.Sub(v.triedAt) > probeInterval {
 			delete(m.services, s)
 		}
 	}
--- a/io/reach/paths.go
+++ b/io/reach/paths.go
@@ -92,13 +92,14 @@
 func (c *Client) fail(t reach.Target, err error) {
 	c.dial.CloseIdle(Key(t.Instance))
 	c.mu.Lock()
+	wasCutOff := c.paths.CutOff(t.Service)
 	news := c.paths.Fail(t, clock.Boot())
-	cutOff := c.paths.CutOff(t.Service)
+	isCutOff := c.paths.CutOff(t.Service)
 	c.mu.Unlock()
 	switch {
-	case news && cutOff:
+	case isCutOff && !wasCutOff:
 		c.learnAll(t.Service)
-	case news:
+	case news && !isCutOff:
 		c.learnService(t.Service)
 		c.mu.Lock()
 		c.paths.SuspectPeers(t.Service, clock.Boot())
