Block no link when a request that has ended is rejected twice

The dump shows two links whose reader waits in handleGrantReply to pass on a reply: a request that was resent got two rejections and had itself ended, so the channel, with room for one, was never read. The host got no message over that link any more, for good, and could not stop. In service that is an entry host without its leader until a restart.

Now only the first reply is passed on, under the lock; a grant that follows a rejection is given back. TestSecondReplyBlocksNoLink blocked in all three cases before.

--- a/io/front/grants.go
+++ b/io/front/grants.go
@@ -48,8 +48,10 @@
 	// uncertain is true for an engine that may have started again as another build and was not verified.
 	uncertain bool
 	// busy is true if all places of this host at a brittle engine were taken when it last looked for one without a leader.
-	busy  bool
-	reply chan grant.Reply
+	busy bool
+	// answered is true once a reply was passed to reply, which holds one. A resent request may get several.
+	answered bool
+	reply    chan grant.Reply
 	// promptRead is true once the first event has arrived: the engine has finished the prefill.
 	promptRead atomic.Bool
 	// wroteFor is how long the engine has sent events, as a time.Duration.
@@ -178,7 +180,8 @@
 func (f *Front) handleGrantReply(from ident.HostID, r grant.Reply) {
 	f.mu.Lock()
 	req := f.grantRequests[r.ID]
-	waiting := req != nil && req.place == nil
+	waiting := req != nil && req.place == nil && !req.answered
+	rejected := req != nil && req.place == nil && req.answered
 	if waiting && r.Place != nil {
 		if e, known := f.census.Get(r.Place.Instance.ID); known && e.Instance == r.Place.Instance && e.State != census.Ready {
 			// The endpoint began to drain while the grant was in transit, or the authority is partitioned from the
@@ -206,11 +209,12 @@
 			f.lastServed[req.msg.Ref] = servedPlace{place: *r.Place, servedAt: clock.Boot()}
 		}
 	}
-	f.mu.Unlock()
-	switch {
-	case waiting:
+	if waiting {
+		req.answered = true
 		req.reply <- r
-	case req == nil && r.Place != nil:
+	}
+	f.mu.Unlock()
+	if (req == nil || rejected) && r.Place != nil {
 		f.mesh.Send(from, link.Message{End: &grant.End{ID: r.ID, Outcome: grant.Cancelled}})
 	}
 }
--- a/io/front/grants_test.go
+++ b/io/front/grants_test.go
@@ -89,3 +89,46 @@
 	f.handleGrantReply("c1", grant.Reply{ID: req.msg.ID, Place: &grant.Place{Instance: ident.Instance{ID: "g2", Born: 1}}})
 	assert.Equal(t, req.place.Instance.ID, ident.EndpointID("g2"))
 }
+
+// A request that was resent may be rejected twice. The second rejection blocked the link for ever if the request had ended meanwhile, so that the
+// host got no messages of the leader any more and could not stop.
+func TestSecondReplyBlocksNoLink(t *testing.T) {
+	place := &grant.Place{Instance: ident.Instance{ID: "g1", Born: 7}}
+	for name, c := range map[string]struct {
+		second    grant.Reply
+		cancelled bool
+	}{
+		"rejected twice":      {second: grant.Reply{Cause: grant.TooLate}},
+		"granted at last":     {second: grant.Reply{Place: place}, cancelled: true},
+		"rejected many times": {second: grant.Reply{Cause: grant.Limited}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, sent := newFront(t)
+			f.leader = "c1"
+			req := f.openGrantRequest(grant.Ask{Request: "r1", Service: "llm", Left: time.Second})
+			sent.sent = nil
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				f.handleGrantReply("c1", grant.Reply{ID: req.msg.ID, Cause: grant.TooLate})
+				for range 3 {
+					r := c.second
+					r.ID = req.msg.ID
+					f.handleGrantReply("c1", r)
+				}
+			}()
+			select {
+			case <-done:
+			case <-time.After(5 * time.Second):
+				t.Fatal("the link is blocked")
+			}
+			cancelled := false
+			for _, m := range sent.sent {
+				cancelled = cancelled || m.End != nil && m.End.Outcome == grant.Cancelled
+			}
+			assert.Equal(t, cancelled, c.cancelled)
+			assert.Assert(t, req.place == nil)
+			assert.Equal(t, (<-req.reply).Cause, grant.TooLate)
+		})
+	}
+}
