--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -38,7 +38,7 @@
 	// lostEndpoints is the number of endpoints of a service that must fail in a row, with no success at another one, before the host
 	// counts as cut off from the service. One endpoint may have crashed or be silent for a moment.
 	lostEndpoints = 2
-	// hopelessEndpoints is the number of endpoints that must fail in a row before nothing is sent to the service directly any more, except probes.
+	// hopelessEndpoints is the number of endpoints that must fail in a row before requests for the service are not tried any more.
 	hopelessEndpoints = 4
 	// probeInterval is the pause between probes of a service, retryInterval that between probes of a single endpoint.
 	probeInterval = 300 * time.Millisecond
