Log long turns of a control host's loop, reads of the configuration, and the seeds of a start

Heartbeats wait for the end of a turn, and no line told a leader that was busy from one that was cut off: the lines of both are role and stopped-leading. A read that was answered left no line, so that reads could not be told by the host that answered. No decision changes.

--- a/io/site/site.go
+++ b/io/site/site.go
@@ -120,7 +120,7 @@
 	if err := h.start(ctx); err != nil {
 		return err
 	}
-	common.Log.WithField("file", c.File).WithField("domain", c.Domain).WithField("seeds", len(c.Seeds)).WithField("found", c.Bootstrap).Info("started")
+	common.Log.WithField("file", c.File).WithField("domain", c.Domain).WithField("seeds", c.Seeds).WithField("found", c.Bootstrap).Info("started")
 	group.Go(func() error { return h.watchSettings(ctx, s.Reload) })
 	group.Go(func() error { return h.watchPauses(ctx) })
 	group.Go(func() error {
--- a/io/voter/log.go
+++ b/io/voter/log.go
@@ -62,6 +62,7 @@
 // apply applies a committed entry to the replicated state.
 func (v *Voter) apply(e quorum.Entry) {
 	v.applied = e.Index
+	v.turn.applied++
 	v.bytesSinceSnapshot += len(e.Data)
 	if e.Kind != quorum.Normal {
 		return
--- a/io/voter/status.go
+++ b/io/voter/status.go
@@ -64,6 +64,7 @@
 // only if the host has an older state.
 func (v *Voter) serveFetch(to ident.HostID, f link.Fetch) {
 	if l := v.book.Layout; l != nil && l.Version > f.Layout {
+		v.turn.fetches++
 		c := v.changeFrom(f.Layout)
 		v.mesh.Send(to, link.Message{Change: &c})
 	}
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -121,6 +121,7 @@
 	lastRole         quorum.Role
 	// leaderlessSince is the time since which this host knows no leader; 0 while it knows one.
 	leaderlessSince ident.Time
+	turn            turn
 }
 
 // entryHost is a linked entry host with its last Presence message.
@@ -199,14 +200,17 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			v.turn = turn{startedAt: clock.Boot()}
 			v.tick()
 		case f := <-v.inbox:
+			v.turn = turn{startedAt: clock.Boot(), events: 1}
 			// Tick ends an expired leadership first: a host that was suspended must not act on it.
 			v.node.Tick(clock.Boot())
 			f()
 			v.runQueued()
 		}
 		v.processEffects(ctx)
+		v.endTurn()
 	}
 }
 
@@ -215,6 +219,7 @@
 	for range maxEventBatch {
 		select {
 		case f := <-v.inbox:
+			v.turn.events++
 			f()
 		default:
 			return
