--- a/fakes/vlink/vlink.go
+++ b/fakes/vlink/vlink.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"shallotgap/core/ident"
 	"shallotgap/core/wire"
@@ -18,6 +19,12 @@
 	Seed uint64
 	// Loss is the probability that a message is dropped, as by a full queue.
 	Loss float64
+	// EncodeRate is how many bytes of messages a control host encodes in a second, in the goroutine that sends; 0 for no limit.
+	// Messages of the log carry bytes that are encoded already and take no time. Calls take none either, as hosts send them under a
+	// lock, and virtual time stands still while a goroutine waits for a lock.
+	EncodeRate float64
+	// EntryRate is how many bytes the links of one entry host carry in a second, in each direction; 0 for no limit.
+	EntryRate float64
 }
 
 // Network links all hosts that were opened on it.
@@ -70,6 +77,8 @@
 	network *Network
 	targets map[ident.HostID]bool
 	pipes   map[ident.HostID]*pipe // outgoing messages, by the receiving host
+	// sentAt and receivedAt are when the host's links will have carried the messages that were queued so far.
+	sentAt, receivedAt time.Time
 	// lastRead is closed once the reader of the latest link with a host has ended.
 	lastRead map[ident.HostID]chan struct{}
 	readers  sync.WaitGroup
@@ -77,10 +86,16 @@
 
 // pipe carries the messages of one direction of a link.
 type pipe struct {
-	queue  chan []byte
+	queue  chan queued
 	broken chan struct{}
 }
 
+// queued is an encoded message, and the time at which the links of its sender have carried it.
+type queued struct {
+	data   []byte
+	sentAt time.Time
+}
+
 // queuedMessages is the capacity of a pipe; further messages are dropped.
 const queuedMessages = 8192
 
@@ -106,49 +121,81 @@
 func (p *port) Target(h ident.HostID) {
 	p.network.mu.Lock()
 	defer p.network.mu.Unlock()
-	p.targets[h] = true
-	p.network.connect()
+	if !p.targets[h] {
+		p.targets[h] = true
+		p.network.connect()
+	}
 }
 
 // Send queues a message for a host.
 func (p *port) Send(to ident.HostID, m link.Message) bool {
+	data := p.encode(m)
 	p.network.mu.Lock()
 	defer p.network.mu.Unlock()
-	return p.send(to, m)
+	return p.send(to, data)
 }
 
 // SendAll queues a message for each linked host for which match returns true.
 func (p *port) SendAll(m link.Message, match func(link.Hello) bool) {
+	data := p.encode(m)
 	p.network.mu.Lock()
 	defer p.network.mu.Unlock()
 	for to := range p.pipes {
 		if match(p.network.ports[to].Self) {
-			p.send(to, m)
+			p.send(to, data)
 		}
 	}
 }
 
-// send encodes a message as a real link does and queues it. The network's mu must be held.
-func (p *port) send(to ident.HostID, m link.Message) bool {
-	c := p.pipes[to]
-	if c == nil {
-		return false
-	}
+// encode encodes a message as a real link does, and lets the time pass that this takes.
+func (p *port) encode(m link.Message) []byte {
 	data, err := wire.Marshal(m)
 	if err != nil {
 		panic(err)
 	}
+	if rate := p.network.EncodeRate; rate > 0 && p.Self.Control && m.Quorum == nil && m.Call == nil && m.EndpointCall == nil {
+		<-time.After(transfer(len(data), rate))
+	}
+	return data
+}
+
+// transfer returns how long a number of bytes takes at a rate in bytes per second.
+func transfer(bytes int, rate float64) time.Duration {
+	return time.Duration(float64(bytes) / rate * float64(time.Second))
+}
+
+// send queues an encoded message. The network's mu must be held.
+func (p *port) send(to ident.HostID, data []byte) bool {
+	c := p.pipes[to]
+	if c == nil {
+		return false
+	}
 	if p.network.rand.Float64() < p.network.Loss {
 		return true
 	}
+	q := queued{data: data, sentAt: p.carry(&p.sentAt, len(data))}
 	select {
-	case c.queue <- data:
+	case c.queue <- q:
 		return true
 	default:
 		return false
 	}
 }
 
+// carry adds a message to those that the host's links carry in one direction, and returns when that is done. The network's mu must
+// be held.
+func (p *port) carry(busyUntil *time.Time, bytes int) time.Time {
+	now := time.Now()
+	if p.Self.Control || p.network.EntryRate == 0 {
+		return now
+	}
+	if busyUntil.Before(now) {
+		*busyUntil = now
+	}
+	*busyUntil = busyUntil.Add(transfer(bytes, p.network.EntryRate))
+	return *busyUntil
+}
+
 // connect links each running host with its targets, unless the link is cut or open. n.mu must be held.
 func (n *Network) connect() {
 	for _, p := range n.ports {
@@ -163,6 +210,9 @@
 
 // find returns the running host with an id or link address, or nil.
 func (n *Network) find(h ident.HostID) *port {
+	if p := n.ports[h]; p != nil {
+		return p
+	}
 	for _, p := range n.ports {
 		if p.Self.Host == h || p.Self.Address == h {
 			return p
@@ -174,7 +224,7 @@
 // open opens the direction of a link from p to another host, which begins with the initial messages of p. The reader at the
 // other host starts once that of the link before has ended, so that the handler sees the links in order.
 func (p *port) open(to *port) {
-	c := &pipe{queue: make(chan []byte, queuedMessages), broken: make(chan struct{})}
+	c := &pipe{queue: make(chan queued, queuedMessages), broken: make(chan struct{})}
 	p.pipes[to.Self.Host] = c
 	former, ended := to.lastRead[p.Self.Host], make(chan struct{})
 	to.lastRead[p.Self.Host] = ended
@@ -200,9 +250,12 @@
 		select {
 		case <-c.broken:
 			return
-		case data := <-c.queue:
+		case q := <-c.queue:
+			if !p.await(q, c) {
+				return
+			}
 			var m link.Message
-			if err := wire.Unmarshal(data, &m); err != nil {
+			if err := wire.Unmarshal(q.data, &m); err != nil {
 				panic(err)
 			}
 			p.Handler.Receive(from.Self, m)
@@ -210,6 +263,26 @@
 	}
 }
 
+// await waits until a message has arrived, and reports false if the link breaks first.
+func (p *port) await(q queued, c *pipe) bool {
+	p.network.mu.Lock()
+	arrival := p.carry(&p.receivedAt, len(q.data))
+	p.network.mu.Unlock()
+	if q.sentAt.After(arrival) {
+		arrival = q.sentAt
+	}
+	wait := time.Until(arrival)
+	if wait <= 0 {
+		return true
+	}
+	select {
+	case <-c.broken:
+		return false
+	case <-time.After(wait):
+		return true
+	}
+}
+
 // breakLink breaks both directions of a link. n.mu must be held.
 func (n *Network) breakLink(a, b ident.HostID) {
 	for _, ends := range [][2]ident.HostID{{a, b}, {b, a}} {
--- a/io/link/mesh.go
+++ b/io/link/mesh.go
@@ -35,6 +35,8 @@
 	Handler Handler
 	// Listener accepts links; nil for a host that only dials.
 	Listener net.Listener
+	// Dial opens connections to other hosts; nil for TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Relay handles requests of other hosts for endpoints, at RelayPath; nil for a host that relays none.
 	Relay http.Handler
 	// InitialMessages returns the messages to send on a new connection, after the Hello.
@@ -57,6 +59,9 @@
 
 // New returns a mesh without links; Run opens them.
 func New(common logs.Common, c Config) *Mesh {
+	if c.Dial == nil {
+		c.Dial = dialTCP
+	}
 	return &Mesh{Common: common, Config: c, links: map[ident.HostID][]*conn{}, targets: map[ident.HostID]context.CancelFunc{}}
 }
 
@@ -221,7 +226,7 @@
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	client := &http.Client{Transport: &http.Transport{DialContext: dialTCP, DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{DialContext: m.Dial, DisableKeepAlives: true}}
 	ws, _, err := websocket.Dial(dialCtx, "ws://"+string(h)+"/", &websocket.DialOptions{HTTPClient: client})
 	if err != nil {
 		return fmt.Errorf("dial %s: %w", h, err)
--- /dev/null
+++ b/io/link/slow_test.go
@@ -0,0 +1,178 @@
+package link_test
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shallotgap/core/ident"
+	"shallotgap/io/clock"
+	"shallotgap/io/link"
+	"shallotgap/io/logs"
+)
+
+// slowNetwork connects meshes in the bubble by connections that carry rate bytes per second in each direction.
+type slowNetwork struct {
+	rate    float64
+	conns   chan net.Conn
+	mu      sync.Mutex
+	stalled bool
+}
+
+// chunk is the number of bytes that a connection carries at once.
+const chunk = 16 << 10
+
+func (n *slowNetwork) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	n.conns <- &slowConn{Conn: far, network: n, closed: make(chan struct{})}
+	return &slowConn{Conn: near, network: n, closed: make(chan struct{})}, nil
+}
+
+func (n *slowNetwork) Accept() (net.Conn, error) {
+	c, open := <-n.conns
+	if !open {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (n *slowNetwork) Close() error { close(n.conns); return nil }
+
+func (n *slowNetwork) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (n *slowNetwork) stall() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stalled = true
+}
+
+type slowConn struct {
+	net.Conn
+	network *slowNetwork
+	once    sync.Once
+	closed  chan struct{}
+}
+
+// Close ends a Write at once: virtual time stands still while the WebSocket waits for one under its lock.
+func (c *slowConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+func (c *slowConn) Write(b []byte) (int, error) {
+	written := 0
+	for written < len(b) {
+		next := b[written:min(len(b), written+chunk)]
+		select {
+		case <-c.closed:
+			return written, net.ErrClosed
+		case <-time.After(time.Duration(float64(len(next)) / c.network.rate * float64(time.Second))):
+		}
+		c.network.mu.Lock()
+		stalled := c.network.stalled
+		c.network.mu.Unlock()
+		if stalled {
+			written += len(next) // as a kernel does that takes bytes for a peer which is gone
+			continue
+		}
+		n, err := c.Conn.Write(next)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// useVirtualClock lets decisions follow the time of the bubble.
+func useVirtualClock(t *testing.T) {
+	begin := time.Now()
+	t.Cleanup(clock.Replace(func() ident.Time { return ident.Time(time.Hour).Add(time.Since(begin)) }))
+}
+
+// startSlow starts a mesh on a slow network in the bubble.
+func startSlow(t *testing.T, n *slowNetwork, name ident.HostID, accepts bool) *member {
+	t.Helper()
+	common, err := logs.New(t.Output(), string(name), "error")
+	assert.NilError(t, err)
+	m := &member{}
+	c := link.Config{Self: link.Hello{Host: name, Domain: "d", Control: accepts}, Handler: m, Dial: n.dial}
+	if accepts {
+		c.Listener = n
+	}
+	m.Mesh = link.New(common, c)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		assert.Check(t, m.Run(ctx) == nil)
+	}()
+	m.stop = func() { cancel(); <-done }
+	return m
+}
+
+// A message that took longer than the timeouts of a link broke the link, which then carried the same message again, for good.
+func TestLargeMessageArrivesOverSlowLink(t *testing.T) {
+	const rate = 10e6 / 8 // bytes per second of the link of an entry host
+	source := make([]byte, 5<<20)
+	r := rand.NewChaCha8([32]byte{1})
+	_, _ = r.Read(source) // bytes that no compression shortens
+	for name, fromControl := range map[string]bool{"to an entry host": true, "from an entry host": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				useVirtualClock(t)
+				n := &slowNetwork{rate: rate, conns: make(chan net.Conn)}
+				control := startSlow(t, n, "c1", true)
+				entry := startSlow(t, n, "e1", false)
+				defer entry.stop()
+				defer control.stop()
+				entry.Target("c1")
+				<-time.After(time.Second)
+				from, to, receiver := entry, control, ident.HostID("c1")
+				if fromControl {
+					from, to, receiver = control, entry, "e1"
+				}
+				assert.Assert(t, from.Send(receiver, link.Message{Answer: &link.Answer{ID: 1, Source: source}}))
+				<-time.After(2 * time.Duration(float64(len(source))/rate*float64(time.Second)))
+				to.read(func() {
+					assert.Equal(t, to.downs, 0)
+					assert.Equal(t, len(to.messages), 1)
+					assert.Assert(t, bytes.Equal(to.messages[0].Answer.Source, source))
+				})
+			})
+		})
+	}
+}
+
+// A link that carries nothing any more must break soon, also in the middle of a message.
+func TestStalledLinkBreaks(t *testing.T) {
+	for name, size := range map[string]int{"between messages": 0, "in a message": 5 << 20} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				useVirtualClock(t)
+				n := &slowNetwork{rate: 10e6 / 8, conns: make(chan net.Conn)}
+				control := startSlow(t, n, "c1", true)
+				entry := startSlow(t, n, "e1", false)
+				defer entry.stop()
+				defer control.stop()
+				entry.Target("c1")
+				<-time.After(time.Second)
+				if size > 0 {
+					assert.Assert(t, control.Send("e1", link.Message{Answer: &link.Answer{ID: 1, Source: make([]byte, size)}}))
+					<-time.After(100 * time.Millisecond)
+				}
+				n.stall()
+				<-time.After(2 * link.SilenceTimeout)
+				entry.read(func() { assert.Equal(t, entry.downs, 1) })
+				control.read(func() { assert.Equal(t, control.downs, 1) })
+			})
+		})
+	}
+}
