Bound the time without progress on a link, not the time of a message

Callers and operators saw: entry hosts without configuration, reads and changes that no entry host answered, with many routes. Cause: a batch had to be written within 1.2 s, and a peer had to be heard with a whole message within 1.3 s; a link of 10 Mbit/s carries 1.5 MB in that time. A larger message broke the link, was fetched again over the next one, and broke that. Now each piece of 16 kB must be written within the same 1.2 s, any byte from the peer counts as a sign of life within the same 1.3 s, and a batch takes no further message above 64 kB, so that small messages do not wait for the end of a large one behind them. TestLargeMessageArrivesOverSlowLink failed before (1 link lost, in both directions) and passes; TestStalledLinkBreaks, which passed before, shows that a silent link still breaks within twice SilenceTimeout, also in the middle of a message. Nothing changes on the wire.

--- a/io/link/await_test.go
+++ b/io/link/await_test.go
@@ -34,7 +34,7 @@
 		common, err := logs.New(t.Output(), "a", "error")
 		assert.NilError(t, err)
 		m := New(common, Config{Self: Hello{Host: "a"}, Handler: &counter{}})
-		c := newConn(nil)
+		c := newConn(nil, nil)
 		c.peer = Hello{Host: "b"}
 		m.addConn(c)
 		close(c.closed)
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,21 +18,19 @@
 
 // conn is one connection of a link.
 type conn struct {
-	ws           *websocket.Conn
-	peer         Hello       // empty until the peer's Hello has arrived
-	sendQueue    chan []byte // encoded messages
-	closed       chan struct{}
-	removed      chan struct{} // closed once removeConn has run
-	once         sync.Once
-	lastReceived atomic.Int64 // arrival of the last received batch, as ident.Time
+	ws        *websocket.Conn
+	bytes     *progressConn // under ws
+	peer      Hello         // empty until the peer's Hello has arrived
+	sendQueue chan []byte   // encoded messages
+	closed    chan struct{}
+	removed   chan struct{} // closed once removeConn has run
+	once      sync.Once
 }
 
 var errHelloMissing = errors.New("the first message is not a hello")
 
-func newConn(ws *websocket.Conn) *conn {
-	c := &conn{ws: ws, sendQueue: make(chan []byte, maxQueuedMessages), closed: make(chan struct{}), removed: make(chan struct{})}
-	c.lastReceived.Store(int64(clock.Boot()))
-	return c
+func newConn(ws *websocket.Conn, bytes *progressConn) *conn {
+	return &conn{ws: ws, bytes: bytes, sendQueue: make(chan []byte, maxQueuedMessages), closed: make(chan struct{}), removed: make(chan struct{})}
 }
 
 // enqueue adds an encoded message to the send queue and reports false if the queue is full.
@@ -77,10 +74,15 @@
 
 // fillBatch adds queued messages to a batch, in order, without blocking.
 func (c *conn) fillBatch(batch [][]byte) [][]byte {
-	for len(batch) < maxBatchMessages {
+	size := 0
+	for _, m := range batch {
+		size += len(m)
+	}
+	for len(batch) < maxBatchMessages && size < maxBatchBytes {
 		select {
 		case m := <-c.sendQueue:
 			batch = append(batch, m)
+			size += len(m)
 		default:
 			return batch
 		}
@@ -89,10 +91,7 @@
 }
 
 func (c *conn) send(ctx context.Context, batch [][]byte) error {
-	data := wire.EncodeList(batch)
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	return c.ws.Write(ctx, websocket.MessageBinary, data)
+	return c.ws.Write(ctx, websocket.MessageBinary, wire.EncodeList(batch))
 }
 
 // watch closes the connection when nothing was received for SilenceTimeout.
@@ -112,10 +111,10 @@
 		now := clock.Boot()
 		if now.Sub(lastTick) > SilenceTimeout/2 {
 			// This process was paused, so messages of the peer may have arrived unread: restart the timeout.
-			c.lastReceived.Store(int64(now))
+			c.bytes.touch()
 		}
 		lastTick = now
-		if time.Duration(int64(now)-c.lastReceived.Load()) > SilenceTimeout {
+		if c.bytes.silence(now) > SilenceTimeout {
 			c.close()
 			return
 		}
@@ -132,7 +131,6 @@
 			}
 			return fmt.Errorf("read from %s: %w", c.peer.Host, err)
 		}
-		c.lastReceived.Store(int64(clock.Boot()))
 		var batch []Message
 		if err := wire.Unmarshal(data, &batch); err != nil {
 			c.close()
--- a/io/link/mesh.go
+++ b/io/link/mesh.go
@@ -80,10 +80,10 @@
 		<-ctx.Done()
 		return nil
 	}
-	server := &http.Server{Handler: http.HandlerFunc(m.accept), ReadHeaderTimeout: dialTimeout, BaseContext: func(net.Listener) context.Context { return ctx }}
+	server := &http.Server{Handler: http.HandlerFunc(m.accept), ReadHeaderTimeout: dialTimeout, ConnContext: withAccepted, BaseContext: func(net.Listener) context.Context { return ctx }}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.Serve(m.Listener); err != nil && ctx.Err() == nil {
+	if err := server.Serve(progressListener{m.Listener}); err != nil && ctx.Err() == nil {
 		return fmt.Errorf("serve links: %w", err)
 	}
 	return nil
@@ -226,12 +226,21 @@
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	client := &http.Client{Transport: &http.Transport{DialContext: m.Dial, DisableKeepAlives: true}}
+	var opened *progressConn
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := m.Dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		opened = newProgressConn(c)
+		return opened, nil
+	}
+	client := &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
 	ws, _, err := websocket.Dial(dialCtx, "ws://"+string(h)+"/", &websocket.DialOptions{HTTPClient: client})
 	if err != nil {
 		return fmt.Errorf("dial %s: %w", h, err)
 	}
-	return m.serve(ctx, ws)
+	return m.serve(ctx, newConn(ws, opened))
 }
 
 // accept serves a connection that another host has dialled.
@@ -240,21 +249,25 @@
 		m.Relay.ServeHTTP(w, r)
 		return
 	}
+	accepted, ok := r.Context().Value(acceptedKey{}).(*progressConn)
+	if !ok {
+		m.Log.WithField("step", "accept").WithField("peer", r.RemoteAddr).Error("unknown-connection")
+		return
+	}
 	ws, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		m.Log.WithField("step", "accept").WithField("peer", r.RemoteAddr).WithError(err).Warn("bad-link")
 		return
 	}
-	if err := m.serve(r.Context(), ws); err != nil {
+	if err := m.serve(r.Context(), newConn(ws, accepted)); err != nil {
 		m.Log.WithField("step", "link").WithField("peer", r.RemoteAddr).WithError(err).Debug("link-ended")
 	}
 }
 
 // serve sends the Hello and the initial messages, then runs a connection until it breaks.
-func (m *Mesh) serve(ctx context.Context, ws *websocket.Conn) error {
-	c := newConn(ws)
+func (m *Mesh) serve(ctx context.Context, c *conn) error {
 	defer c.close()
-	ws.SetReadLimit(maxMessageBytes)
+	c.ws.SetReadLimit(maxMessageBytes)
 	first := []Message{{Hello: &m.Self}}
 	if m.InitialMessages != nil {
 		first = append(first, m.InitialMessages()...)
--- a/io/link/message.go
+++ b/io/link/message.go
@@ -198,7 +198,8 @@
 	// connectTimeout bounds the TCP handshake. The kernel of a running host answers at once. A host that is down does not
 	// answer, and a short timeout lets the mesh redial the host soon after its restart.
 	connectTimeout   = 200 * time.Millisecond
-	dialTimeout      = 800 * time.Millisecond // limit of the WebSocket handshake, which the peer's process must answer
-	writeTimeout     = 1200 * time.Millisecond
-	maxBatchMessages = 64 // limit of messages per WebSocket message
+	dialTimeout      = 800 * time.Millisecond  // limit of the WebSocket handshake, which the peer's process must answer
+	writeTimeout     = 1200 * time.Millisecond // limit of the time in which a connection takes no bytes
+	maxBatchMessages = 64                      // limit of messages per WebSocket message
+	maxBatchBytes    = 64 << 10                // no further message joins a batch of this size
 )
--- a/io/link/two_conns_test.go
+++ b/io/link/two_conns_test.go
@@ -24,7 +24,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := &counter{}
 			m := New(common, Config{Self: Hello{Host: "a"}, Handler: c})
-			conns := []*conn{newConn(nil), newConn(nil)}
+			conns := []*conn{newConn(nil, nil), newConn(nil, nil)}
 			for _, x := range conns {
 				x.peer = Hello{Host: "b"}
 				m.addConn(x)
