Encode the configuration once for all entry hosts, and compress large messages

Cause: an entry host that starts fetches the whole configuration. The control host encoded it anew for each of 91 of them in the loop that also sends its heartbeats: with 3,000 routes turns of 293 and 311 ms with about 60 fetches (trial, line busy), longer than the election timeout, and the leader lost the leadership 0.4 to 0.8 s after its election. Reads and changes of 0.5 to 1 MB went through entry hosts, 91 of the 96 that an operator may ask, on links of 10 Mbit/s beside copies of the configuration, and ended with the 0.85 s of a call. With 6,000 routes no entry host ever answered. Now a control host keeps the encoded configuration and the change to it, for one encoding a version, and messages from 16 kB on are compressed (deflate, 460 kB to 35 kB for 3,000 routes). Hosts announce in their Hello that they read compressed messages; hosts of earlier versions get them as before, and theirs are read (TestEncodedMessagesBetweenVersions).

TestReadsWithManyRoutesAfterLossOfPower failed before (91 of 96 hosts without an answer, a leader lost) and passes: first right read after 0.93 s with 2,000 routes (1.60 s before) and 1.02 s with 6,000; configuration at all 91 entry hosts after 0.95 s (1.4 s before with 2,000), a change with 6,000 routes acknowledged after 0.14 s.

--- a/fakes/vlink/vlink.go
+++ b/fakes/vlink/vlink.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"shallotgap/core/ident"
-	"shallotgap/core/wire"
 	"shallotgap/io/link"
 	"shallotgap/io/logs"
 )
@@ -43,6 +42,7 @@
 
 // Open returns the network of one host; it is a link.Opener. A host that was opened under the same id before must have ended.
 func (n *Network) Open(_ logs.Common, c link.Config) link.Network {
+	c.Self.Packed = true
 	return &port{Config: c, network: n, targets: map[ident.HostID]bool{}, pipes: map[ident.HostID]*pipe{}, lastRead: map[ident.HostID]chan struct{}{}}
 }
 
@@ -128,11 +128,13 @@
 }
 
 // Send queues a message for a host.
-func (p *port) Send(to ident.HostID, m link.Message) bool {
-	data := p.encode(m)
+func (p *port) Send(to ident.HostID, m link.Message) bool { return p.SendEncoded(to, p.encode(m)) }
+
+// SendEncoded queues an encoded message for a host.
+func (p *port) SendEncoded(to ident.HostID, m link.Encoded) bool {
 	p.network.mu.Lock()
 	defer p.network.mu.Unlock()
-	return p.send(to, data)
+	return p.send(to, m)
 }
 
 // SendAll queues a message for each linked host for which match returns true.
@@ -148,13 +150,13 @@
 }
 
 // encode encodes a message as a real link does, and lets the time pass that this takes.
-func (p *port) encode(m link.Message) []byte {
-	data, err := wire.Marshal(m)
+func (p *port) encode(m link.Message) link.Encoded {
+	data, err := link.Encode(m)
 	if err != nil {
 		panic(err)
 	}
 	if rate := p.network.EncodeRate; rate > 0 && p.Self.Control && m.Quorum == nil && m.Call == nil && m.EndpointCall == nil {
-		<-time.After(transfer(len(data), rate))
+		<-time.After(transfer(len(data.For(link.Hello{})), rate))
 	}
 	return data
 }
@@ -165,11 +167,12 @@
 }
 
 // send queues an encoded message. The network's mu must be held.
-func (p *port) send(to ident.HostID, data []byte) bool {
+func (p *port) send(to ident.HostID, m link.Encoded) bool {
 	c := p.pipes[to]
 	if c == nil {
 		return false
 	}
+	data := m.For(p.network.ports[to].Self)
 	if p.network.rand.Float64() < p.network.Loss {
 		return true
 	}
@@ -254,8 +257,8 @@
 			if !p.await(q, c) {
 				return
 			}
-			var m link.Message
-			if err := wire.Unmarshal(q.data, &m); err != nil {
+			m, err := link.Decode(q.data)
+			if err != nil {
 				panic(err)
 			}
 			p.Handler.Receive(from.Self, m)
--- a/io/front/grants_test.go
+++ b/io/front/grants_test.go
@@ -28,6 +28,8 @@
 	return true
 }
 
+func (s *messageRecorder) SendEncoded(ident.HostID, link.Encoded) bool { panic("unexpected") }
+
 func (s *messageRecorder) SendAll(m link.Message, _ func(link.Hello) bool) {
 	s.sent = append(s.sent, m)
 }
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -146,7 +146,12 @@
 }
 
 // dispatch passes a message to the handler; the first message must be a Hello, which adds the connection to the mesh.
-func (c *conn) dispatch(msg Message, m *Mesh) error {
+func (c *conn) dispatch(packed Message, m *Mesh) error {
+	msg, err := packed.unpack()
+	if err != nil {
+		m.Log.WithField("step", "receive").WithField("peer", c.peer.Host).WithError(err).Warn("bad-message")
+		return err
+	}
 	switch {
 	case c.peer.Host != "":
 		m.Handler.Receive(c.peer, msg)
--- a/io/link/mesh.go
+++ b/io/link/mesh.go
@@ -13,7 +13,6 @@
 	"github.com/coder/websocket"
 
 	"shallotgap/core/ident"
-	"shallotgap/core/wire"
 	"shallotgap/io/logs"
 )
 
@@ -62,6 +61,7 @@
 	if c.Dial == nil {
 		c.Dial = dialTCP
 	}
+	c.Self.Packed = true
 	return &Mesh{Common: common, Config: c, links: map[ident.HostID][]*conn{}, targets: map[ident.HostID]context.CancelFunc{}}
 }
 
@@ -128,20 +128,25 @@
 
 // Send queues a message for a host and reports false if there is no link or its queue is full.
 func (m *Mesh) Send(to ident.HostID, msg Message) bool {
-	c := m.newestConn(to)
-	if c == nil {
+	if m.newestConn(to) == nil {
 		return false
 	}
 	data, ok := m.encode(msg)
-	return ok && c.enqueue(data)
+	return ok && m.SendEncoded(to, data)
+}
+
+// SendEncoded queues an encoded message for a host and reports false if there is no link or its queue is full.
+func (m *Mesh) SendEncoded(to ident.HostID, msg Encoded) bool {
+	c := m.newestConn(to)
+	return c != nil && c.enqueue(msg.For(c.peer))
 }
 
 // encode encodes a message and logs a failure.
-func (m *Mesh) encode(msg Message) ([]byte, bool) {
-	data, err := wire.Marshal(msg)
+func (m *Mesh) encode(msg Message) (Encoded, bool) {
+	data, err := Encode(msg)
 	if err != nil {
 		m.Log.WithField("step", "send").WithError(err).Error("bad-message")
-		return nil, false
+		return Encoded{}, false
 	}
 	return data, true
 }
@@ -156,7 +161,7 @@
 	defer m.mu.Unlock()
 	for _, list := range m.links {
 		if c := list[len(list)-1]; match(c.peer) {
-			c.enqueue(data)
+			c.enqueue(data.For(c.peer))
 		}
 	}
 }
@@ -274,7 +279,7 @@
 	}
 	for _, msg := range first {
 		if data, ok := m.encode(msg); ok {
-			c.enqueue(data)
+			c.enqueue(data.plain) // the peer is not known yet
 		}
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/io/link/message.go
+++ b/io/link/message.go
@@ -29,6 +29,8 @@
 	Address ident.HostID `json:"address,omitempty"`
 	// ShortHeartbeats is true for a control host that accepts heartbeats in the short form; hosts of earlier versions do not.
 	ShortHeartbeats bool `json:"beats,omitempty"`
+	// Packed is true for a host that accepts compressed messages; hosts of earlier versions do not.
+	Packed bool `json:"packed,omitempty"`
 }
 
 // Message is the union of all messages on a link; exactly one field is set.
@@ -59,6 +61,8 @@
 	Call            *Call                   `json:"call,omitempty"`
 	EndpointCall    *EndpointCall           `json:"endpoint-call,omitempty"`
 	Answer          *Answer                 `json:"answer,omitempty"`
+	// Packed is a compressed message (RFC 1951).
+	Packed []byte `json:"packed,omitempty"`
 }
 
 // Status is a control host's role and the versions of the state that it has applied. An entry host sends only Control.
--- a/io/link/network.go
+++ b/io/link/network.go
@@ -15,6 +15,8 @@
 	Target(h ident.HostID)
 	// Send queues a message for a host and reports false if there is no link or its queue is full.
 	Send(to ident.HostID, msg Message) bool
+	// SendEncoded is like Send, for a message that was encoded before.
+	SendEncoded(to ident.HostID, msg Encoded) bool
 	// SendAll queues a message for each linked host for which match returns true.
 	SendAll(msg Message, match func(Hello) bool)
 }
--- a/io/voter/crash_test.go
+++ b/io/voter/crash_test.go
@@ -21,6 +21,8 @@
 func (*recordingNetwork) Target(ident.HostID)                  {}
 func (*recordingNetwork) Send(ident.HostID, link.Message) bool { return true }
 
+func (n *recordingNetwork) SendEncoded(ident.HostID, link.Encoded) bool { return true }
+
 func (n *recordingNetwork) SendAll(m link.Message, match func(link.Hello) bool) {
 	for _, p := range n.peers {
 		if match(p) {
--- a/io/voter/status.go
+++ b/io/voter/status.go
@@ -10,7 +10,6 @@
 
 	"shallotgap/core/census"
 	"shallotgap/core/ident"
-	"shallotgap/core/layout"
 	"shallotgap/io/clock"
 	"shallotgap/io/link"
 )
@@ -60,40 +59,6 @@
 	v.mesh.SendAll(link.Message{Status: v.status()}, func(link.Hello) bool { return true })
 }
 
-// serveFetch sends an entry host the layout, the adapter versions, the suspected and blocked parts and the limits of endpoints, each
-// only if the host has an older state.
-func (v *Voter) serveFetch(to ident.HostID, f link.Fetch) {
-	if l := v.book.Layout; l != nil && l.Version > f.Layout {
-		v.turn.fetches++
-		c := v.changeFrom(f.Layout)
-		v.mesh.Send(to, link.Message{Change: &c})
-	}
-	if v.book.Changes > f.Changes {
-		v.mesh.Send(to, link.Message{Newest: &link.Newest{Changes: v.book.Changes, List: v.book.List()}})
-	}
-	if v.book.Poison.Changes > f.Poison {
-		s := v.book.Poison.Snapshot()
-		s.Instances = nil // only the table itself needs them
-		v.mesh.Send(to, link.Message{Poison: &s})
-	}
-	if v.book.Limits.Changes > f.Limits {
-		v.sendLimits(to)
-	}
-	if f.Endpoints {
-		list := census.Followed(v.heardEndpoints(), v.isPlain)
-		v.mesh.Send(to, link.Message{Endpoints: &link.Endpoints{List: list, Settled: v.census.HeardFor() > v.census.Retention}})
-	}
-}
-
-// changeFrom returns the change from a layout version to the current one; it is the whole layout unless that version is the
-// previous one.
-func (v *Voter) changeFrom(from layout.Version) layout.Change {
-	if v.latestChange.To == v.book.Layout.Version && v.latestChange.From == from {
-		return v.latestChange
-	}
-	return layout.Diff(nil, v.book.Layout)
-}
-
 // Addresses returns the addresses of ready entry hosts for callers of a failure domain, in random order. Entry hosts of
 // other domains are included only if the domain has fewer than minAddresses.
 func (v *Voter) Addresses(ctx context.Context, domain ident.DomainID) ([]string, error) {
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -118,6 +118,7 @@
 	changedEndpoints []census.Entry
 	nextStatus       ident.Time    // time of the next status message; 0 for the next tick
 	latestChange     layout.Change // the change from the previous layout to the current one
+	encodedLayout    encodedLayout
 	lastRole         quorum.Role
 	// leaderlessSince is the time since which this host knows no leader; 0 while it knows one.
 	leaderlessSince ident.Time
