End a turn of a control host's loop after 15 ms of expensive events

Whatever is expensive next must not silence a leader. A turn now ends after a quarter of a heartbeat interval. TestTurnEndsAfterExpensiveEvents failed before (129 events of 5 ms in one turn, now 4).

--- a/io/voter/busy_test.go
+++ b/io/voter/busy_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"shallotgap/core/burn"
+	"shallotgap/core/ident"
 	"shallotgap/core/quorum"
 	"shallotgap/io/clock"
 	"shallotgap/io/logs"
@@ -36,3 +37,26 @@
 		})
 	}
 }
+
+// A leader that handled 128 expensive events in one turn sent no heartbeat meanwhile and lost the leadership.
+func TestTurnEndsAfterExpensiveEvents(t *testing.T) {
+	cases := map[string]struct {
+		cost time.Duration // of an event
+		most int           // events in one turn
+	}{
+		"cheap":     {cost: time.Microsecond, most: maxEventBatch + 1},
+		"expensive": {cost: 5 * time.Millisecond, most: 4},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := ident.Time(time.Hour)
+			t.Cleanup(clock.Replace(func() ident.Time { return now }))
+			v := &Voter{inbox: make(chan func(), inboxCapacity), turn: turn{startedAt: now, events: 1}}
+			for range 2 * maxEventBatch {
+				v.inbox <- func() { now = now.Add(c.cost) }
+			}
+			v.runQueued()
+			assert.Equal(t, v.turn.events, c.most)
+		})
+	}
+}
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -215,9 +215,10 @@
 	}
 }
 
-// runQueued handles further queued events, so that one call of processEffects covers many of them.
+// runQueued handles further queued events, so that one call of processEffects covers many of them. It stops early after expensive ones,
+// since heartbeats wait for the end of the turn.
 func (v *Voter) runQueued() {
-	for range maxEventBatch {
+	for v.turn.events <= maxEventBatch && clock.Boot().Sub(v.turn.startedAt) < maxTurn {
 		select {
 		case f := <-v.inbox:
 			v.turn.events++
@@ -228,7 +229,11 @@
 	}
 }
 
-const maxEventBatch = 128
+// Limits of one turn of the loop.
+const (
+	maxEventBatch = 128
+	maxTurn       = quorumHeartbeat / 4
+)
 
 // post queues f to run in the loop; it drops f once the loop has ended.
 func (v *Voter) post(f func()) {
