Ask again for a layout after 0.3, 0.6, 1.2 s and so on, and at once when the link to the asked host is lost

An entry host asked another control host for a copy each 300 ms while the first one was under way; on 10 Mbit/s each copy of 3,000 routes takes 0.4 s, so that they delayed each other. TestFetchIsRepeatedSeldom: 10 fetches in 3 s with the interval of before, 4 now; a lost link to the asked host leads to another fetch within 100 ms.

--- a/io/front/endpointlimit.go
+++ b/io/front/endpointlimit.go
@@ -118,7 +118,7 @@
 func (f *Front) handleLimits(from ident.HostID, m link.Limits) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.fetchedAt = 0
+	f.fetch.answered()
 	f.limits.rank, f.limits.hosts = m.Rank, m.Hosts
 	if m.Changes <= f.limits.table.Changes {
 		return
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -132,9 +132,8 @@
 	pickerRetention  = 60 * time.Second // observations of an endpoint are dropped after this time without a request to it
 	// A request that arrives before the first layout waits for the layout for at most its own timeout divided by
 	// layoutWaitDivisor.
-	layoutWaitDivisor  = 4
-	defaultLayoutWait  = time.Second            // wait for the first layout, for requests without a deadline
-	fetchRetryInterval = 300 * time.Millisecond // a fetch without a response is repeated after this time
+	layoutWaitDivisor = 4
+	defaultLayoutWait = time.Second // wait for the first layout, for requests without a deadline
 )
 
 // Front is an entry host.
@@ -157,8 +156,8 @@
 	census         *census.Follower
 	picker         *pick.Picker
 	newestVersions map[book.AdapterRef]book.WeightsVersion
-	versionChanges uint64     // number of adapter version changes applied
-	fetchedAt      ident.Time // time of the last fetch; 0 once its response has arrived
+	versionChanges uint64 // number of adapter version changes applied
+	fetch          pendingFetch
 	controlStatus  map[ident.HostID]link.Status
 	controlHosts   []ident.HostID // from controlStatus; never modified in place
 	leader         ident.HostID
@@ -265,28 +264,6 @@
 // sendPresence announces this host to all linked control hosts.
 func (f *Front) sendPresence() { f.mesh.SendAll(f.presence(), func(link.Hello) bool { return true }) }
 
-// fetchIfBehind requests the layout, adapter versions, blocked parts and limits from a control host that has newer ones than this host.
-func (f *Front) fetchIfBehind(from ident.HostID, s link.Status) {
-	current := f.layoutVersion()
-	now := clock.Boot()
-	f.mu.Lock()
-	behind := s.Layout > current || s.Changes > f.versionChanges || s.Poison > f.poison.Changes || s.Limits > f.limits.table.Changes
-	recent := now.Sub(f.fetchedAt) < fetchRetryInterval && f.fetchedAt != 0
-	if behind && !recent {
-		f.fetchedAt = now
-	}
-	fetch := f.fetchNewer(current)
-	f.mu.Unlock()
-	if behind && !recent {
-		f.mesh.Send(from, link.Message{Fetch: &fetch})
-	}
-}
-
-// fetchNewer returns the request for what is newer than a version of the layout and this host's other state. f.mu must be held.
-func (f *Front) fetchNewer(current layout.Version) link.Fetch {
-	return link.Fetch{Layout: current, Changes: f.versionChanges, Poison: f.poison.Changes, Limits: f.limits.table.Changes}
-}
-
 // layoutVersion returns the version of the current layout, or 0 before the first one.
 func (f *Front) layoutVersion() layout.Version {
 	if l := f.router.Load().Layout; l != nil {
@@ -305,7 +282,7 @@
 	}()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.fetchedAt = 0
+	f.fetch.answered()
 	current := f.router.Load().Layout
 	if current != nil && c.To <= current.Version {
 		return
@@ -314,6 +291,7 @@
 	if !ok {
 		f.Log.WithField("step", "layout").WithField("peer", from).WithField("from", c.From).WithField("to", c.To).Warn("change-of-another-version")
 		fetch := f.fetchNewer(0)
+		f.fetch.sent(from, clock.Boot())
 		f.mesh.Send(from, link.Message{Fetch: &fetch})
 		return
 	}
@@ -329,7 +307,7 @@
 func (f *Front) handleNewestVersions(n link.Newest) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.fetchedAt = 0
+	f.fetch.answered()
 	for _, v := range n.List {
 		f.newestVersions[v.Of] = max(f.newestVersions[v.Of], v.Version)
 	}
--- a/io/front/links.go
+++ b/io/front/links.go
@@ -27,6 +27,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.controlStatus, peer.Host)
+	f.fetch.linkDown(peer.Host)
 	f.chooseFallback()
 	if f.leader == peer.Host {
 		f.leader = ""
--- a/io/front/poison.go
+++ b/io/front/poison.go
@@ -18,7 +18,7 @@
 func (f *Front) handlePoison(from ident.HostID, s poison.Snapshot) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.fetchedAt = 0
+	f.fetch.answered()
 	if s.Changes <= f.poison.Changes {
 		return
 	}
