Let a host that is not in the log pass calls on to the leader by the leader's status

Statuses tell who leads as soon as a link is up; the leader confirms its leadership itself before it answers. TestEmptyHostFollowsTheLeadersStatus fails without the change.

--- a/io/voter/calls.go
+++ b/io/voter/calls.go
@@ -54,9 +54,38 @@
 	if leader == v.Self && v.leadership == nil {
 		leader = ""
 	}
+	if leader == "" && !v.node.IsVoter(v.Self) {
+		leader = v.announced.current(now)
+	}
 	v.Follow(leader, now)
 }
 
+// announcedLeader is the leader by its own status. A host that is not in the log yet, as its disk is empty, hears of it that way first.
+type announcedLeader struct {
+	host ident.HostID
+	term ident.Term
+	at   ident.Time
+}
+
+// noteLeader records the leader by the status of a linked control host.
+func (v *Voter) noteLeader(from link.Hello, s link.Status, now ident.Time) {
+	switch {
+	case !from.Control:
+	case s.Leads && s.Term >= v.announced.term:
+		v.announced = announcedLeader{host: from.Host, term: s.Term, at: now}
+	case from.Host == v.announced.host:
+		v.announced.host = ""
+	}
+}
+
+// current returns the leader, or nothing if its last two statuses are missing.
+func (a announcedLeader) current(now ident.Time) ident.HostID {
+	if now.Sub(a.at) > 2*statusInterval {
+		return ""
+	}
+	return a.host
+}
+
 // reply sends the answer to a call to the host that forwarded the call.
 func (v *Voter) reply(to ident.HostID, a link.Answer) {
 	if to == v.Self {
--- a/io/voter/leaderless_test.go
+++ b/io/voter/leaderless_test.go
@@ -8,7 +8,9 @@
 
 	"shallotgap/core/census"
 	"shallotgap/core/ident"
+	"shallotgap/io/calls"
 	"shallotgap/io/clock"
+	"shallotgap/io/link"
 )
 
 // A control host that is cut off from the leader must record a heartbeat but not confirm it. Otherwise the endpoint would not
@@ -49,3 +51,32 @@
 		})
 	}
 }
+
+// A control host with an empty disk rejected reads until the log had taken it in, although it was linked to the leader.
+func TestEmptyHostFollowsTheLeadersStatus(t *testing.T) {
+	control := func(h ident.HostID) link.Hello { return link.Hello{Host: h, Control: true} }
+	cases := map[string]struct {
+		statuses map[ident.HostID]link.Status
+		age      time.Duration
+		leader   bool
+	}{
+		"no status":               {},
+		"of the leader":           {statuses: map[ident.HostID]link.Status{"c2": {Leads: true, Term: 3}}, leader: true},
+		"of a follower":           {statuses: map[ident.HostID]link.Status{"c2": {Leader: "c3", Term: 3}}},
+		"of the leader, long ago": {statuses: map[ident.HostID]link.Status{"c2": {Leads: true, Term: 3}}, age: 3 * statusInterval},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := ident.Time(time.Hour)
+			t.Cleanup(clock.Replace(func() ident.Time { return now }))
+			v := newVoter(t, t.TempDir())
+			now = now.Add(2 * calls.LeaderlessLimit)
+			for h, s := range c.statuses {
+				v.receive(control(h), link.Message{Status: &s})
+			}
+			now = now.Add(c.age)
+			v.followLeader(now)
+			assert.Equal(t, !v.WithoutLeader(now), c.leader)
+		})
+	}
+}
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -123,6 +123,7 @@
 	// leaderlessSince is the time since which this host knows no leader; 0 while it knows one.
 	leaderlessSince ident.Time
 	turn            turn
+	announced       announcedLeader
 }
 
 // entryHost is a linked entry host with its last Presence message.
@@ -298,6 +299,7 @@
 		v.node.Step(*m.Quorum)
 	case m.Status != nil:
 		v.addControlHosts(m.Status.Control)
+		v.noteLeader(from, *m.Status, now)
 	case m.Presence != nil:
 		v.entryHosts[from.Host] = entryHost{hello: from, presence: *m.Presence, receivedAt: now}
 		v.sendRelays(from, *m.Presence, now)
