Let control hosts find entry hosts whose seeds are gone

Control hosts keep the addresses of entry hosts that were linked within ten minutes in a cache file, entry-hosts, and dial those that have not linked 1.5 s after a start; one link suffices, as the status on it names all control hosts. saveEndpoints became generic for the second list. TestEntryHostWithoutLivingSeedsIsFound fails without the dialling and passes: configuration at all entry hosts within 4 s, links to all control hosts.

--- a/fakes/vlink/vlink.go
+++ b/fakes/vlink/vlink.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,6 +56,16 @@
 	n.breakLink(a, b)
 }
 
+// LinkedTo returns the hosts to which a host is linked, in order.
+func (n *Network) LinkedTo(h ident.HostID) []ident.HostID {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if p := n.ports[h]; p != nil {
+		return slices.Sorted(maps.Keys(p.pipes))
+	}
+	return nil
+}
+
 // Heal lets all hosts link to each other again.
 func (n *Network) Heal() {
 	n.mu.Lock()
--- a/io/disk/cache_test.go
+++ b/io/disk/cache_test.go
@@ -33,15 +33,15 @@
 			folder := t.TempDir()
 			s, _, err := disk.Open(folder)
 			assert.NilError(t, err)
-			assert.NilError(t, s.Cache().Write([]string{"old"}))
-			assert.NilError(t, s.Cache().Write([]string{"a", "b"}))
+			assert.NilError(t, s.Endpoints().Write([]string{"old"}))
+			assert.NilError(t, s.Endpoints().Write([]string{"a", "b"}))
 			assert.NilError(t, s.Close())
 			c.damage(t, filepath.Join(folder, "known"))
 			s, _, err = disk.Open(folder)
 			assert.NilError(t, err)
 			defer func() { assert.NilError(t, s.Close()) }()
 			var list []string
-			found, err := s.Cache().Read(&list)
+			found, err := s.Endpoints().Read(&list)
 			assert.Equal(t, found, c.found, "%v", err)
 			if c.found {
 				assert.DeepEqual(t, list, []string{"a", "b"})
--- a/io/voter/endpoints.go
+++ b/io/voter/endpoints.go
@@ -8,6 +8,7 @@
 	"shallotgap/core/census"
 	"shallotgap/core/ident"
 	"shallotgap/io/clock"
+	"shallotgap/io/disk"
 )
 
 // saveInterval is the interval of checks for a change of the endpoints to save: a fraction of a heartbeat interval.
@@ -18,7 +19,7 @@
 // unless its next heartbeat arrives in time.
 func (v *Voter) restoreEndpoints() {
 	var list []census.Entry
-	if _, err := v.store.Cache().Read(&list); err != nil {
+	if _, err := v.store.Endpoints().Read(&list); err != nil {
 		v.Log.WithField("step", "recall").WithError(err).Warn("endpoints-not-read")
 		return
 	}
@@ -39,12 +40,29 @@
 	return slices.DeleteFunc(v.census.List(), v.onlyRestored)
 }
 
-// saveEndpoints writes the ready endpoints to disk when they change. A failed write is only logged, since the log's own
-// writes detect a failed disk. The writes block neither the loop nor the log.
+// saveEndpoints writes the ready endpoints to disk when they change.
 func (v *Voter) saveEndpoints(ctx context.Context) error {
+	return saveChanges(ctx, v, savedList[census.Entry, ident.Instance]{
+		what: "endpoints", cache: v.store.Endpoints(),
+		list: func() []census.Entry { return v.census.Ready() },
+		key:  func(e census.Entry) ident.Instance { return e.Instance },
+	})
+}
+
+// savedList is a list that a control host keeps on disk.
+type savedList[T any, K comparable] struct {
+	what  string // for the log
+	cache disk.Cache
+	list  func() []T // called in the loop
+	key   func(T) K  // identifies an item; the list is written when the keys change
+}
+
+// saveChanges writes a list to disk when it changes. A failed write is only logged, since the log's own writes detect a failed disk.
+// The writes block neither the loop nor the log.
+func saveChanges[T any, K comparable](ctx context.Context, v *Voter, s savedList[T, K]) error {
 	ticker := time.NewTicker(saveInterval)
 	defer ticker.Stop()
-	var saved []ident.Instance
+	var saved []K
 	failing := false
 	for {
 		select {
@@ -52,26 +70,26 @@
 			return nil
 		case <-ticker.C:
 		}
-		var list []census.Entry
-		if v.runInLoop(ctx, func() { list = v.census.Ready() }) != nil {
+		var list []T
+		if v.runInLoop(ctx, func() { list = s.list() }) != nil {
 			return nil // the host is stopping
 		}
-		instances := make([]ident.Instance, len(list))
-		for i, e := range list {
-			instances[i] = e.Instance
+		keys := make([]K, len(list))
+		for i, item := range list {
+			keys[i] = s.key(item)
 		}
-		if slices.Equal(instances, saved) {
+		if slices.Equal(keys, saved) {
 			continue
 		}
 		start := clock.Boot()
-		err := v.store.Cache().Write(list)
+		err := s.cache.Write(list)
 		if err != nil && !failing {
-			v.Log.WithField("step", "keep").WithField("endpoints", len(list)).WithError(err).Warn("endpoints-not-kept")
+			v.Log.WithField("step", "keep").WithField(s.what, len(list)).WithError(err).Warn(s.what + "-not-kept")
 		}
 		if failing = err != nil; failing {
 			continue
 		}
-		saved = instances
-		v.Log.WithField("step", "keep").WithField("endpoints", len(list)).WithField("took", clock.Boot().Sub(start).String()).Debug("endpoints-kept")
+		saved = keys
+		v.Log.WithField("step", "keep").WithField(s.what, len(list)).WithField("took", clock.Boot().Sub(start).String()).Debug(s.what + "-kept")
 	}
 }
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -124,6 +124,7 @@
 	leaderlessSince ident.Time
 	turn            turn
 	announced       announcedLeader
+	addresses       entryHostAddresses
 }
 
 // entryHost is a linked entry host with its last Presence message.
@@ -157,6 +158,7 @@
 		v.setCensusServices()
 	}
 	v.restoreEndpoints()
+	v.restoreEntryHosts()
 	if c.Paths != nil {
 		c.Paths.OnSaid(v.noteSaid)
 	}
@@ -189,6 +191,7 @@
 	group.Go(func() error { return v.loop(ctx) })
 	group.Go(func() error { return v.runDiskWriter(ctx) })
 	group.Go(func() error { return v.saveEndpoints(ctx) })
+	group.Go(func() error { return v.saveEntryHosts(ctx) })
 	return group.Wait()
 }
 
@@ -257,6 +260,7 @@
 	v.flushStreams()
 	v.followLeader(now)
 	v.setOwnRelays(now)
+	v.dialOrphans(now)
 	if late := v.disk.OldestAge(now); late > slowDiskLimit && v.node.Role() == quorum.Leader {
 		v.Log.WithField("step", "lead").WithField("write", late.String()).Warn("disk-slow")
 		v.node.StepDown(quorum.ExcludeNone)
@@ -339,6 +343,7 @@
 			v.hasLegacyPeers = v.hasLegacyPeers || !peer.ShortHeartbeats
 		} else if peer.Address != "" {
 			v.dropContact(peer.Address)
+			v.noteAddress(peer.Address, clock.Boot())
 		}
 		list := v.heardEndpoints()
 		if !peer.Control {
