--- a/io/link/mesh.go
+++ b/io/link/mesh.go
@@ -13,6 +13,7 @@
 	"github.com/coder/websocket"
 
 	"shallotgap/core/ident"
+	"shallotgap/io/clock"
 	"shallotgap/io/logs"
 )
 
@@ -180,27 +181,40 @@
 // keepDialing dials a host, and redials it after each failure or loss of the link. It logs only the first of several failures.
 func (m *Mesh) keepDialing(ctx context.Context, h ident.HostID) {
 	failed := false
+	downSince := clock.Boot()
 	for ctx.Err() == nil {
-		err := m.dial(ctx, h)
+		linked, err := m.dial(ctx, h)
 		if ctx.Err() != nil {
 			return
 		}
+		if linked {
+			downSince = clock.Boot()
+		}
 		if !failed {
 			m.Log.WithField("step", "link").WithField("peer", h).WithError(err).Warn("link-lost")
 		}
 		failed = true
 		select {
 		case <-ctx.Done():
-		case <-time.After(redialDelay):
+		case <-time.After(redialDelayAfter(clock.Boot().Sub(downSince))):
 		}
 		if m.newestConn(h) != nil {
 			// The peer has dialled this host meanwhile; its connection serves both directions.
 			failed = false
 			m.awaitLinkDown(ctx, h)
+			downSince = clock.Boot()
 		}
 	}
 }
 
+// redialDelayAfter returns the pause between two dials of a host that has been down for some time.
+func redialDelayAfter(down time.Duration) time.Duration {
+	if down < longDown {
+		return redialDelay
+	}
+	return longDownRedialDelay
+}
+
 // newestConn returns the newest connection with a host, or nil.
 func (m *Mesh) newestConn(h ident.HostID) *conn {
 	m.mu.Lock()
@@ -223,11 +237,12 @@
 	}
 }
 
-// dial opens a connection to a host and serves it until it breaks, or waits for the loss of an existing link.
-func (m *Mesh) dial(ctx context.Context, h ident.HostID) error {
+// dial opens a connection to a host and serves it until it breaks, or waits for the loss of an existing link. It reports whether there
+// was a connection.
+func (m *Mesh) dial(ctx context.Context, h ident.HostID) (linked bool, err error) {
 	if c := m.newestConn(h); c != nil {
 		m.awaitLinkDown(ctx, h)
-		return fmt.Errorf("link with %s ended", h)
+		return true, fmt.Errorf("link with %s ended", h)
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -243,9 +258,9 @@
 	client := &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
 	ws, _, err := websocket.Dial(dialCtx, "ws://"+string(h)+"/", &websocket.DialOptions{HTTPClient: client})
 	if err != nil {
-		return fmt.Errorf("dial %s: %w", h, err)
+		return false, fmt.Errorf("dial %s: %w", h, err)
 	}
-	return m.serve(ctx, newConn(ws, opened))
+	return true, m.serve(ctx, newConn(ws, opened))
 }
 
 // accept serves a connection that another host has dialled.
--- a/io/link/message.go
+++ b/io/link/message.go
@@ -199,6 +199,9 @@
 	maxQueuedMessages = 8192     // further messages to a slow peer are dropped
 	maxMessageBytes   = 64 << 20 // read limit of one WebSocket message, which holds a batch
 	redialDelay       = 100 * time.Millisecond
+	// A host that has been down for longDown may have been replaced for good and is dialled seldom.
+	longDown            = time.Minute
+	longDownRedialDelay = 2 * time.Second
 	// connectTimeout bounds the TCP handshake. The kernel of a running host answers at once. A host that is down does not
 	// answer, and a short timeout lets the mesh redial the host soon after its restart.
 	connectTimeout   = 200 * time.Millisecond
--- a/io/link/slow_test.go
+++ b/io/link/slow_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -176,3 +178,46 @@
 		})
 	}
 }
+
+// A host that was replaced for good was dialled ten times a second until the process ended. One that returns must be linked soon.
+func TestHostThatIsGoneIsDialledSeldom(t *testing.T) {
+	cases := map[string]struct {
+		down      time.Duration
+		mostDials int
+		mostDelay time.Duration // from the return of the host to the link
+	}{
+		"a short outage": {down: 20 * time.Second, mostDials: 200, mostDelay: 2 * link.PingInterval},
+		"gone for long":  {down: 10 * time.Minute, mostDials: 900, mostDelay: 3 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				useVirtualClock(t)
+				n := &slowNetwork{rate: 10e6 / 8, conns: make(chan net.Conn)}
+				common, err := logs.New(t.Output(), "e1", "error")
+				assert.NilError(t, err)
+				begin, dials := time.Now(), &atomic.Int32{}
+				entry := &member{}
+				entry.Mesh = link.New(common, link.Config{Self: link.Hello{Host: "e1"}, Handler: entry, Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+					dials.Add(1)
+					if time.Since(begin) < c.down {
+						return nil, syscall.ECONNREFUSED
+					}
+					return n.dial(ctx, network, address)
+				}})
+				ctx, cancel := context.WithCancel(t.Context())
+				ended := make(chan struct{})
+				go func() { defer close(ended); assert.Check(t, entry.Run(ctx) == nil) }()
+				entry.Target("c1")
+				<-time.After(c.down)
+				assert.Assert(t, int(dials.Load()) <= c.mostDials, "%d dials in %v", dials.Load(), c.down)
+				control := startSlow(t, n, "c1", true)
+				<-time.After(c.mostDelay)
+				entry.read(func() { assert.Equal(t, entry.ups, 1) })
+				cancel()
+				<-ended
+				control.stop()
+			})
+		})
+	}
+}
