Send operators with large configurations from entry hosts to the leader

After the return of power the operator asked 18 hosts, all of them entry hosts, as 91 of 96 are. Each had the answer after 0.08 to 0.14 s and then needed 0.82 s to send 1.08 MB over 10 Mbit/s: 0.89 to 1.0 s in all, and operators wait 1 s. A read that was right at each host was never finished at any. Control hosts name that address in their Hello; that of a host of an earlier version is not known, and the entry host answers itself, as before. Weighed: compressed answers (operators ask for none), a redirect for all sizes (an operator who can't reach the leader would be sent away in vain).

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -159,7 +159,8 @@
 	versionChanges uint64 // number of adapter version changes applied
 	fetch          pendingFetch
 	controlStatus  map[ident.HostID]link.Status
-	controlHosts   []ident.HostID // from controlStatus; never modified in place
+	operators      map[ident.HostID]string // where linked control hosts take the calls of operators
+	controlHosts   []ident.HostID          // from controlStatus; never modified in place
 	leader         ident.HostID
 	fallback       ident.HostID // see calls.Forwarder.SetFallback
 	term           ident.Term
@@ -183,7 +184,7 @@
 func New(common logs.Common, meter *metric.Meter, c Config) *Front {
 	f := &Front{
 		Common: common, Config: c, Meter: meter, layoutLoaded: make(chan struct{}), census: census.NewFollower(), poison: poison.NewTable(), written: poison.NewWritten(), evidence: poison.NewEvidence(), picker: pick.New(c.Domain),
-		limits: newHostLimits(), heed: heed.NewTable(), permitTimes: map[ident.Service]permitTimes{}, newestVersions: map[book.AdapterRef]book.WeightsVersion{}, controlStatus: map[ident.HostID]link.Status{}, grantRequests: map[grant.ID]*grantRequest{},
+		limits: newHostLimits(), heed: heed.NewTable(), permitTimes: map[ident.Service]permitTimes{}, newestVersions: map[book.AdapterRef]book.WeightsVersion{}, controlStatus: map[ident.HostID]link.Status{}, operators: map[ident.HostID]string{}, grantRequests: map[grant.ID]*grantRequest{},
 		lastServed: map[book.AdapterRef]servedPlace{}, retryBudgets: map[ident.Service]*grant.Budget{}, sendCounts: map[ident.Service]*grant.Budget{}, streams: resume.NewTable(resume.LifeOf(nil), resume.Capacity), startedAt: clock.Boot(), entryHosts: 1,
 	}
 	f.ownPaths = c.Paths == nil
--- a/io/front/links.go
+++ b/io/front/links.go
@@ -14,6 +14,9 @@
 // LinkUp tells a newly linked host the control hosts. That host may have only this one as a seed.
 func (f *Front) LinkUp(peer link.Hello) {
 	f.mu.Lock()
+	if peer.Operators != "" {
+		f.operators[peer.Host] = peer.Operators
+	}
 	known := f.controlHosts
 	f.mu.Unlock()
 	if len(known) > 0 {
@@ -21,12 +24,21 @@
 	}
 }
 
+// LeaderAddress returns the address at which the leader takes the calls of operators; empty if it is not known. A large configuration
+// is passed on faster there: control hosts have faster links and processors.
+func (f *Front) LeaderAddress() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.operators[f.leader]
+}
+
 // LinkDown drops the status of a control host, and the leader if that host was leading.
 func (f *Front) LinkDown(peer link.Hello) {
 	f.LinkLost(peer.Host)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.controlStatus, peer.Host)
+	delete(f.operators, peer.Host)
 	f.fetch.linkDown(peer.Host)
 	f.chooseFallback()
 	if f.leader == peer.Host {
--- a/io/link/message.go
+++ b/io/link/message.go
@@ -29,6 +29,9 @@
 	Address ident.HostID `json:"address,omitempty"`
 	// ShortHeartbeats is true for a control host that accepts heartbeats in the short form; hosts of earlier versions do not.
 	ShortHeartbeats bool `json:"beats,omitempty"`
+	// Operators is the address at which a control host takes the calls of operators; empty for other hosts and for hosts of earlier
+	// versions.
+	Operators string `json:"operators,omitempty"`
 	// Packed is true for a host that accepts compressed messages; hosts of earlier versions do not.
 	Packed bool `json:"packed,omitempty"`
 }
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -35,9 +35,10 @@
 	Engines func(common logs.Common, holder string, paths *reach.Client) voter.Engines
 	// OpenEndpoint opens connections to endpoints; nil for TCP.
 	OpenEndpoint dial.Opener
-	// Control handles the calls of operators and endpoints. Directory returns entry host addresses to callers, which may
+	// Control handles the calls of operators and endpoints. leader returns the address to which a host sends operators with large
+	// configurations, or nothing if it answers them itself. Directory returns entry host addresses to callers, which may
 	// cache them for ttl.
-	Control   func(common logs.Common, c Controller) http.Handler
+	Control   func(common logs.Common, c Controller, leader func() string) http.Handler
 	Directory func(common logs.Common, v *voter.Voter, ttl time.Duration) http.Handler
 	// Ready handles the readiness probe of an entry host.
 	Ready func(ready func() bool) http.Handler
@@ -173,7 +174,7 @@
 	grantParams.HeartbeatTimeout = 3*h.HeartbeatInterval + 900*time.Millisecond // three heartbeat intervals and a delay
 	grantParams.HeartbeatLag = h.HeartbeatInterval + 800*time.Millisecond       // one heartbeat interval and the age of its adapter list
 	v, err := voter.New(h.Common, h.meter, voter.Config{
-		Self: ident.HostID(h.Links), Domain: h.Domain, Seeds: h.Seeds, Bootstrap: h.Bootstrap, TargetVoters: h.Voters, Folder: h.Folder,
+		Self: ident.HostID(h.Links), Domain: h.Domain, Operators: string(h.Control), Seeds: h.Seeds, Bootstrap: h.Bootstrap, TargetVoters: h.Voters, Folder: h.Folder,
 		OrderPause: h.OrderPause, GrantParams: grantParams, Listener: links, Engines: h.edge.Engines(h.Common, h.Name, h.paths), Paths: h.paths, RandomSeed: uint64(time.Now().UnixNano()),
 	})
 	if err != nil {
@@ -181,7 +182,7 @@
 	}
 	h.voter = v
 	h.group.Go(func() error { return v.Run(ctx) })
-	if err := h.serveControl(ctx, v); err != nil {
+	if err := h.serveControl(ctx, v, func() string { return "" }); err != nil {
 		return err
 	}
 	if h.Directory == "" {
@@ -205,11 +206,11 @@
 }
 
 // serveControl answers the calls of operators and endpoints.
-func (h *host) serveControl(ctx context.Context, c Controller) error {
+func (h *host) serveControl(ctx context.Context, c Controller, leader func() string) error {
 	if h.Control == "" {
 		return nil
 	}
-	_, err := h.serveWith(ctx, h.Control, h.measuredServer(h.withLimitCalls(c, h.withPoisonCalls(c, h.edge.Control(h.Common, c)))))
+	_, err := h.serveWith(ctx, h.Control, h.measuredServer(h.withLimitCalls(c, h.withPoisonCalls(c, h.edge.Control(h.Common, c, leader)))))
 	return err
 }
 
@@ -229,7 +230,7 @@
 	f := front.New(h.Common, h.meter, c)
 	h.front = f
 	if servesControl {
-		if err := h.serveControl(ctx, f); err != nil {
+		if err := h.serveControl(ctx, f, f.LeaderAddress); err != nil {
 			return err
 		}
 	}
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -42,6 +42,8 @@
 	// Self is the host's link address, which is also its ID.
 	Self   ident.HostID
 	Domain ident.DomainID
+	// Operators is the address at which the host takes the calls of operators; empty if it takes none.
+	Operators string
 	// Seeds are the hosts to which the host connects first.
 	Seeds []ident.HostID
 	// Bootstrap is true when the deployment starts for the first time; the control hosts among the seeds then form the initial
@@ -162,7 +164,7 @@
 	if c.Paths != nil {
 		c.Paths.OnSaid(v.noteSaid)
 	}
-	v.mesh = c.Network.Open(common, link.Config{Self: link.Hello{Host: c.Self, Domain: c.Domain, Control: true, ShortHeartbeats: true}, Handler: v, Listener: c.Listener})
+	v.mesh = c.Network.Open(common, link.Config{Self: link.Hello{Host: c.Self, Domain: c.Domain, Control: true, ShortHeartbeats: true, Operators: c.Operators}, Handler: v, Listener: c.Listener})
 	v.node = v.newNode(stored)
 	for _, h := range c.Seeds {
 		v.mesh.Target(h)
