Reject what no endpoint can say of itself, and let an endpoint outlast an entry that looks later

Here nothing ended, but (shown on by a scratch test of census.Observe) one entry took an endpoint out for good: with its id and the largest number, or born in the future, each later heartbeat had no effect; with another id at its address and born in the future it was marked gone; port 0 and 2^63-1 slots were accepted. Entries are checked field by field where they are decoded, between hosts and when they are read from disk (census.Entry.Check: lengths, slots, number, start at most 10 min in the future, state; platform: a usable address). The refusal names the field, shallotgap_heartbeats_total counts it as odd, and the first one of each endpoint is logged. An odd entry that passes, since all its fields are possible, is outlasted: five heartbeats with rising numbers over 10 s, while nothing more comes of the entry that looks later, bring the endpoint back at all hosts (Entry.Prevails; earlier versions ignore it). Late heartbeats do not (TestLateHeartbeatsDoNotPrevail). At most 16,384 endpoints are stored. The own mode checks announcements likewise (lease.Endpoint.Check), and its refusals have a detail. Numbers of milliseconds, tokens, loads and seconds saturate; before, they overflowed to other values on each kind of processor (a weight of 1e308, Keep-Alive, 'NaN' as deadline).

--- a/core/census/census.go
+++ b/core/census/census.go
@@ -37,6 +37,10 @@
 	// Models are the base models on an engine.
 	Models []string `json:"models,omitempty"`
 
+	// Prevails is set by a host at which the heartbeats of the endpoint went on while nothing more came of an entry that looked
+	// later. Hosts of earlier versions ignore it.
+	Prevails bool `json:"prevails,omitempty"`
+
 	// LastHeartbeat is the local time at which this host received the latest heartbeat.
 	LastHeartbeat ident.Time `json:"-"`
 }
@@ -70,11 +74,16 @@
 	lastHeard map[ident.EndpointID]time.Duration
 	expiredAt ident.Time // when Expire last checked all endpoints
 	displaced []Entry    // endpoints that lost their address since the last call of Displaced
+	// lostAddress holds the endpoints that are gone only because another one has their address.
+	lostAddress map[ident.EndpointID]bool
+	doubts      map[ident.EndpointID]doubt
+	doubtAt     map[string]ident.EndpointID // the endpoint in doubts, by address
+	roomMadeAt  ident.Time                  // when hasRoom last looked for silent endpoints
 }
 
 // New returns an empty census.
 func New(retention time.Duration) *Census {
-	return &Census{entries: map[ident.EndpointID]Entry{}, byAddress: map[string][]ident.EndpointID{}, lastHeard: map[ident.EndpointID]time.Duration{}, Retention: retention}
+	return &Census{entries: map[ident.EndpointID]Entry{}, byAddress: map[string][]ident.EndpointID{}, lastHeard: map[ident.EndpointID]time.Duration{}, Retention: retention, lostAddress: map[ident.EndpointID]bool{}, doubts: map[ident.EndpointID]doubt{}, doubtAt: map[string]ident.EndpointID{}}
 }
 
 // DefaultRetention is longer than any delay of a heartbeat.
@@ -83,6 +92,25 @@
 // longestPause is the longest time without any heartbeat that counts as silence of the endpoints: some heartbeat intervals.
 const longestPause = 5 * time.Second
 
+// maxEntries bounds the endpoints that a host stores and sends to others: several times those of the largest deployment that is planned
+// for. Entries of another writer may have any number of ids.
+const maxEntries = 1 << 14
+
+// hasRoom reports whether another endpoint can be stored. If there are too many, it drops those that were silent for longer than
+// longestPause, and looks for them once in that time.
+func (c *Census) hasRoom(now ident.Time) bool {
+	if len(c.entries) < maxEntries || now.Sub(c.roomMadeAt) < longestPause {
+		return len(c.entries) < maxEntries
+	}
+	c.roomMadeAt = now
+	for id, e := range c.entries {
+		if c.heardFor-c.lastHeard[id] > longestPause {
+			c.drop(e)
+		}
+	}
+	return len(c.entries) < maxEntries
+}
+
 // hear records that a heartbeat has arrived.
 func (c *Census) hear(now ident.Time) {
 	c.heardFor += max(0, min(now.Sub(c.heardAt), longestPause))
@@ -101,6 +129,8 @@
 	Unchanged                    // a later heartbeat with the same content
 	Changed                      // the endpoint is new, or its state, address, service, slots, build or incarnation differ
 	UnknownService               // the service is not configured; nothing changed
+	Prevailed                    // as Changed, over an entry that looked later
+	Full                         // there is no room for another endpoint; nothing changed
 )
 
 // SetServices sets the configured services and drops the known endpoints of other services. It also carries out the address
@@ -127,12 +157,18 @@
 	if c.isForeign(e) {
 		return UnknownService
 	}
-	if known && isStale(e, old) {
-		return Stale
+	if !known && !c.hasRoom(now) {
+		return Full
 	}
-	if c.isDisplaced(e) {
-		return Stale
+	if c.looksOlder(e) {
+		if !c.mayPrevail(e) || (!e.Prevails && !c.doubted(e, now)) {
+			return Stale
+		}
+		e.Prevails = false
+		c.prevail(e)
+		return Prevailed
 	}
+	e.Prevails = false
 	if known && old.Instance == e.Instance && old.State > e.State {
 		// An endpoint that drains or has left does not become ready again in the same incarnation.
 		return Stale
@@ -141,6 +177,7 @@
 		e.Build = old.Build // a heartbeat of another writer may name none, or another one
 	}
 	c.put(e)
+	c.confirm(e)
 	if e.State != Gone && (c.configured != nil || !c.AwaitServices) {
 		c.displace(e)
 	}
@@ -160,6 +197,12 @@
 	return !known || old.Instance != e.Instance || old.Service != e.Service
 }
 
+// looksOlder reports whether e is older than what is known of the endpoint, or of another one at its address.
+func (c *Census) looksOlder(e Entry) bool {
+	old, known := c.entries[e.Instance.ID]
+	return (known && isStale(e, old)) || c.isDisplaced(e)
+}
+
 // isStale reports whether e is not newer than old.
 func isStale(e, old Entry) bool {
 	if e.Instance.Born != old.Instance.Born {
@@ -189,6 +232,7 @@
 	}
 	c.entries[e.Instance.ID] = e
 	c.lastHeard[e.Instance.ID] = c.heardFor
+	delete(c.lostAddress, e.Instance.ID)
 }
 
 // removeFromAddress removes an entry from the index by address.
@@ -214,6 +258,7 @@
 		if other := c.entries[id]; id != e.Instance.ID && other.State != Gone {
 			other.State = Gone
 			c.entries[id] = other
+			c.lostAddress[id] = true
 			c.displaced = append(c.displaced, other)
 		}
 	}
@@ -300,4 +345,6 @@
 	c.removeFromAddress(e)
 	delete(c.entries, e.Instance.ID)
 	delete(c.lastHeard, e.Instance.ID)
+	delete(c.lostAddress, e.Instance.ID)
+	c.endDoubt(e.Instance.ID)
 }
--- a/core/census/follow.go
+++ b/core/census/follow.go
@@ -101,6 +101,15 @@
 	return true
 }
 
+// Trust marks the entries of a control host's list that outweigh later starts of the same endpoints: the control host hears the
+// endpoints, and of the later starts nothing has come for long.
+func (f *Follower) Trust(list []Entry, now ident.Time) {
+	for i, e := range list {
+		old, known := f.Get(e.Instance.ID)
+		list[i].Prevails = known && old.Instance.Born > e.Instance.Born && now.Sub(old.LastHeartbeat) > doubtSpan
+	}
+}
+
 // RemoveMissing removes the endpoints that are missing from the list of a control host and returns them. Those that the follower
 // heard of within the retention stay, as the control host may not have heard of them yet.
 func (f *Follower) RemoveMissing(list []Entry, plain func(ident.Service) bool, now ident.Time) []Entry {
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -98,6 +98,8 @@
 	// Step and Peer are the step and the peer at which the request failed.
 	Step string `json:"step"`
 	Peer string `json:"peer,omitempty"`
+	// Detail says what was wrong with a message, such as the field; empty where the reason says it all.
+	Detail string `json:"detail,omitempty"`
 	// RetryAfter is the time after which the caller should retry; 0 when a retry is of no use.
 	RetryAfter time.Duration `json:"retry-after,omitempty"`
 	// Waited is how long the request waited at the owner of its endpoint; nil if it did not get there.
--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -319,12 +319,15 @@
 	}
 }
 
+// maxIdleSeconds bounds what an endpoint can say of its idle timeout.
+const maxIdleSeconds = 3600
+
 // idleTimeout returns how long the connection may stay idle before it is no longer reused.
 func idleTimeout(h http.Header) time.Duration {
 	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		if n, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
-			return max(0, time.Duration(n)*time.Second-idleMargin)
+			return max(0, time.Duration(max(0, min(n, maxIdleSeconds)))*time.Second-idleMargin)
 		}
 	}
 	return defaultIdleTimeout
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -125,8 +125,12 @@
 // announce serves POST /v1/endpoints, by which an endpoint announces its address and state.
 func (s *Server) announce(w http.ResponseWriter, r *http.Request) {
 	var e lease.Endpoint
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement)).Decode(&e); err != nil || e.ID == "" || e.URL == "" || e.Instance == 0 {
-		writeProblem(w, http.StatusBadRequest, work.Refusal{Outcome: work.NotRun, Reason: "bad-announcement", Step: "announce"})
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement)).Decode(&e)
+	if err == nil {
+		err = e.Check()
+	}
+	if err != nil {
+		writeProblem(w, http.StatusBadRequest, work.Refusal{Outcome: work.NotRun, Reason: "bad-announcement", Step: "announce", Detail: err.Error()})
 		return
 	}
 	s.host.Announce(e)
--- a/io/entry/problem.go
+++ b/io/entry/problem.go
@@ -9,6 +9,7 @@
 type problemBody struct {
 	Type    string       `json:"type"`
 	Title   string       `json:"title"`
+	Detail  string       `json:"detail,omitempty"`
 	Status  int          `json:"status"`
 	Outcome work.Outcome `json:"outcome"`
 	Reason  work.Reason  `json:"reason"`
@@ -25,7 +26,7 @@
 // and the request ID.
 func newProblem(status int, r work.Refusal) problemBody {
 	p := problemBody{
-		Type: "about:blank", Title: title(r.Reason), Status: status,
+		Type: "about:blank", Title: title(r.Reason), Detail: r.Detail, Status: status,
 		Outcome: r.Outcome, Reason: r.Reason, Step: r.Step, Peer: r.Peer, RetryAfterMS: r.RetryAfter.Milliseconds(),
 	}
 	if r.Record != nil {
--- a/io/front/census.go
+++ b/io/front/census.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"time"
+
 	"shallotgap/core/census"
 	"shallotgap/core/ident"
 	"shallotgap/core/reach"
@@ -14,7 +16,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, e := range list {
-		if f.census.Observe(e, now) == census.Changed {
+		if e.Check(time.Now()) != nil {
+			f.Meter.Count("shallotgap_heartbeats_total", "news", "odd")
+			continue
+		}
+		if effect := f.census.Observe(e, now); effect == census.Changed || effect == census.Prevailed {
 			f.Log.WithField("step", "census").WithField("endpoint", e.Instance.ID).WithField("state", e.State).WithField("seq", e.Seq).WithField("outcome", "changed").Info("endpoint")
 		}
 		for _, old := range f.census.Displaced() {
@@ -40,8 +46,13 @@
 
 // reconcileEndpoints applies a control host's list of endpoints and logs those that are gone.
 func (f *Front) reconcileEndpoints(e link.Endpoints) {
-	f.handleCensus(e.List)
 	now := clock.Boot()
+	if e.Settled {
+		f.mu.Lock()
+		f.census.Trust(e.List, now)
+		f.mu.Unlock()
+	}
+	f.handleCensus(e.List)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if e.Settled {
--- a/io/voter/endpoints.go
+++ b/io/voter/endpoints.go
@@ -25,6 +25,10 @@
 	}
 	lastHeartbeat := v.startedAt.Add(min(-1, v.GrantParams.HeartbeatLag-v.GrantParams.HeartbeatTimeout))
 	for _, e := range list {
+		if err := e.Check(time.Now()); err != nil {
+			v.rejectOdd(e, err)
+			continue
+		}
 		v.census.Observe(e, lastHeartbeat)
 	}
 	v.Log.WithField("step", "recall").WithField("endpoints", len(list)).Info("recalled")
--- a/io/voter/status.go
+++ b/io/voter/status.go
@@ -159,6 +159,10 @@
 func (v *Voter) observeEndpoints(list []census.Entry, direct bool) {
 	now := clock.Boot()
 	for _, e := range list {
+		if err := e.Check(time.Now()); err != nil {
+			v.rejectOdd(e, err)
+			continue
+		}
 		e.LastHeartbeat = now
 		former, _ := v.census.Get(e.Instance.ID)
 		result := v.census.Observe(e, now)
@@ -173,6 +177,12 @@
 			v.Meter.Count("shallotgap_heartbeats_total", "news", "unnamed")
 			v.logEndpoint(e, "unknown-service")
 			continue
+		case census.Full:
+			v.rejectOdd(e, errCensusFull)
+			continue
+		case census.Prevailed:
+			v.logEndpoint(e, "prevailed")
+			e.Prevails, result = true, census.Changed
 		}
 		displaced := v.census.Displaced()
 		for _, e := range append(displaced, e) {
@@ -220,6 +230,21 @@
 	}
 }
 
+// rejectOdd counts an entry that no endpoint can have written, and logs the first one of each endpoint that it names.
+func (v *Voter) rejectOdd(e census.Entry, err error) {
+	v.Meter.Count("shallotgap_heartbeats_total", "news", "odd")
+	if v.oddEntries[e.Instance.ID] || len(v.oddEntries) >= maxOddLogged {
+		return
+	}
+	v.oddEntries[e.Instance.ID] = true
+	v.Log.WithField("step", "census").WithField("endpoint", e.Instance.ID).WithField("seq", e.Seq).WithField("born", e.Instance.Born).WithError(err).Warn("odd-entry")
+}
+
+// maxOddLogged bounds the log lines about entries that were rejected.
+const maxOddLogged = 1000
+
+var errCensusFull = errors.New("too many endpoints are known")
+
 func (v *Voter) logEndpoint(e census.Entry, outcome string) {
 	v.Log.WithField("step", "census").WithField("endpoint", e.Instance.ID).WithField("born", e.Instance.Born).WithField("seq", e.Seq).
 		WithField("state", e.State).WithField("address", e.Address).WithField("service", e.Service).WithField("build", e.Build).WithField("outcome", outcome).Info("endpoint")
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -127,6 +127,7 @@
 	turn            turn
 	announced       announcedLeader
 	addresses       entryHostAddresses
+	oddEntries      map[ident.EndpointID]bool // endpoints named by entries that were rejected
 }
 
 // entryHost is a linked entry host with its last Presence message.
@@ -149,7 +150,7 @@
 	v := &Voter{
 		Common: common, Config: c, Meter: meter, store: store,
 		inbox: make(chan func(), inboxCapacity), disk: disk.NewQueue[diskJob](), ended: make(chan struct{}),
-		book: state, census: census.New(census.DefaultRetention), entryHosts: map[ident.HostID]entryHost{}, linkedControlHosts: map[ident.HostID]struct{}{},
+		book: state, census: census.New(census.DefaultRetention), entryHosts: map[ident.HostID]entryHost{}, linkedControlHosts: map[ident.HostID]struct{}{}, oddEntries: map[ident.EndpointID]bool{},
 		leaderCalls: leaderCalls{proposed: map[ident.Index][]proposal{}},
 		applied:     stored.Snapshot.Index, startedAt: clock.Boot(),
 	}
