Tell a refusal that was written once more from the answer to the request that runs

Other operators report clients told 'not run, try again' of requests that a replica ran, or such requests running twice, after a replica wrote an earlier refusal once more on a kept connection. A refusal without an id counted as one of this request: endpoints repeat the id in every answer, so that an answer without it belongs to none, and only proves that something went wrong. A refusal of this request, from its first send, was read as the answer to its second send on the same connection: no id can tell that, so a connection that has carried a refusal of a request does not carry the request again, also at relays; a send without an id (orders, reports) keeps no connection after a refusal. TestConnectionAfterRefusal. TestRelayedRequestIsUnchanged gives each of its requests an id, as callers do; it checks as before that connections are kept.

--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -53,6 +54,9 @@
 
 // Request is one request to an endpoint.
 type Request struct {
+	// ID is the id that the endpoint repeats in its answer. A connection that has carried a refusal of a request does not carry the request
+	// again: the endpoint may write the refusal once more. Without an id a connection is not kept after any refusal.
+	ID string
 	// Key selects the pool of idle connections: one per endpoint instance, since a restart may reuse the address.
 	Key     string
 	Address string
@@ -143,8 +147,9 @@
 	headLeft    int64      // bytes that the header may still take; 0 or more only while it is read
 	lastUsed    ident.Time // when the connection was last put into the pool
 	idleTimeout time.Duration
-	greeted     bool   // a Greeting was answered as it should be
-	onRead      func() // of the request that uses the connection
+	greeted     bool     // a Greeting was answered as it should be
+	refused     []string // ids of the requests that were refused on the connection
+	onRead      func()   // of the request that uses the connection
 }
 
 // noHeadLimit is the value of conn.headLeft while no header is read.
@@ -175,12 +180,13 @@
 	*http.Response
 	client    *Client
 	conn      *conn
-	key       string
+	key, id   string
 	stopWatch func() bool // unregisters the function that closes the connection when the context ends
 	// written receives the result of writing the request, once.
 	written  chan error
 	complete bool
 	closed   bool
+	refusal  bool // the status on the wire is an error
 	onEnd    func()
 	// idle is how long the connection may stay idle once the response has been read.
 	idle time.Duration
@@ -194,7 +200,7 @@
 		return nil, err
 	}
 	cn.onRead = r.OnRead
-	resp := &Response{client: c, conn: cn, key: r.Key, written: make(chan error, 1), onEnd: r.OnEnd}
+	resp := &Response{client: c, conn: cn, key: r.Key, id: r.ID, written: make(chan error, 1), onEnd: r.OnEnd}
 	resp.stopWatch = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	if err := resp.exchange(r); err != nil {
 		sent := !errors.Is(err, errNothingSent)
@@ -236,7 +242,7 @@
 			return fmt.Errorf("read response header: %w", err)
 		}
 		if httpResp.StatusCode >= 200 {
-			resp.Response, resp.idle = httpResp, idleTimeout(httpResp.Header)
+			resp.Response, resp.idle, resp.refusal = httpResp, idleTimeout(httpResp.Header), httpResp.StatusCode >= http.StatusBadRequest
 			return nil
 		}
 	}
@@ -271,7 +277,7 @@
 	if resp.closed {
 		return
 	}
-	if !resp.complete || resp.Close || !resp.stopWatch() || !resp.requestWritten() || resp.conn.reader.Buffered() > 0 {
+	if !resp.complete || resp.Close || !resp.stopWatch() || !resp.requestWritten() || resp.conn.reader.Buffered() > 0 || !resp.noteRefusal() {
 		resp.abort()
 		return
 	}
@@ -280,6 +286,18 @@
 	resp.client.putIdle(resp.key, resp.conn)
 }
 
+// maxRefused is the number of refused requests after which a connection is closed.
+const maxRefused = 64
+
+// noteRefusal remembers the request on the connection if the response is a refusal. It reports whether the connection can be kept.
+func (resp *Response) noteRefusal() bool {
+	if !resp.refusal {
+		return true
+	}
+	resp.conn.refused = append(resp.conn.refused, resp.id)
+	return resp.id != "" && len(resp.conn.refused) < maxRefused
+}
+
 // close marks the response as closed.
 func (resp *Response) close() {
 	resp.closed = true
@@ -337,7 +355,7 @@
 func (c *Client) acquire(ctx context.Context, r Request) (*conn, error) {
 	now := clock.Boot()
 	for r.MaxIdle >= 0 {
-		cn := c.takeIdle(r.Key, now)
+		cn := c.takeIdle(r.Key, r.ID, now)
 		if cn == nil {
 			break
 		}
@@ -395,19 +413,21 @@
 	return errors.Join(err, optErr)
 }
 
-// takeIdle returns the most recently used idle connection of a pool key, or nil. It first closes expired connections.
-func (c *Client) takeIdle(key string, now ident.Time) *conn {
+// takeIdle returns the most recently used idle connection of a pool key on which the request was not refused before, or nil. It first
+// closes expired connections.
+func (c *Client) takeIdle(key, id string, now ident.Time) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closeExpired(now)
 	list := c.idle[key]
-	if len(list) == 0 {
-		return nil
+	for at := len(list) - 1; at >= 0; at-- {
+		if cn := list[at]; !slices.Contains(cn.refused, id) {
+			c.idle[key] = slices.Delete(list, at, at+1)
+			c.reused++
+			return cn
+		}
 	}
-	cn := list[len(list)-1]
-	c.idle[key] = list[:len(list)-1]
-	c.reused++
-	return cn
+	return nil
 }
 
 // putIdle adds a connection to the pool; it closes the connection if the pool is full or reuse is not allowed.
--- a/io/dial/dial_test.go
+++ b/io/dial/dial_test.go
@@ -160,3 +160,39 @@
 	_, err := dial.New(dial.Config{}).Do(ctx, request(address))
 	assert.ErrorIs(t, err, context.Canceled)
 }
+
+// An endpoint wrote an earlier refusal once more on a kept connection. The connection must not carry that request again, and none at all
+// if the endpoint can't name the request.
+func TestConnectionAfterRefusal(t *testing.T) {
+	cases := map[string]struct {
+		first, second string // ids of two requests, of which the first is refused
+		opened        int64
+	}{
+		"the same request":    {first: "a", second: "a", opened: 2},
+		"another request":     {first: "a", second: "b", opened: 1},
+		"requests without id": {opened: 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			address, _ := serve(t, func(conn net.Conn, _ *bufio.Reader, n int32) {
+				if n == 1 {
+					_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+					return
+				}
+				_, _ = io.WriteString(conn, okResponse)
+			})
+			client := dial.New(dial.Config{})
+			for _, id := range []string{c.first, c.second} {
+				r := request(address)
+				r.ID = id
+				resp, err := client.Do(context.Background(), r)
+				assert.NilError(t, err)
+				_, err = io.Copy(io.Discard, resp)
+				assert.NilError(t, err)
+				resp.Finish()
+			}
+			opened, _ := client.Counts()
+			assert.Equal(t, opened, c.opened)
+		})
+	}
+}
--- a/io/front/serve.go
+++ b/io/front/serve.go
@@ -166,7 +166,7 @@
 // endpointRequest builds the request to an endpoint.
 func (ex *exchange) endpointRequest(t Target, address string) dial.Request {
 	r := dial.Request{
-		Key: reach.Key(t.Instance), Address: address,
+		ID: ex.call.ID, Key: reach.Key(t.Instance), Address: address,
 		Method: ex.r.Method, Target: ex.r.RequestURI, Host: ex.r.Host, Header: ex.Dialect.Outgoing(ex.r.Header, t), Body: ex.body,
 		HasBody: ex.r.ContentLength != 0 || len(ex.r.Header["Content-Length"]) > 0 || ex.r.Method == http.MethodPost || ex.r.Method == http.MethodPut || ex.r.Method == http.MethodPatch,
 	}
--- a/io/reach/relay.go
+++ b/io/reach/relay.go
@@ -23,6 +23,7 @@
 // length of a relayHead in four bytes, the relayHead as CBOR, and the body of the endpoint's response.
 type relayed struct {
 	reach.Target
+	ID      string        `json:"id,omitempty"`     // see dial.Request; hosts of earlier versions do not send it
 	Method  string        `json:"method,omitempty"` // empty to check only whether the endpoint listens
 	Path    string        `json:"path,omitempty"`   // path and query, unchanged from the caller's request line
 	Host    string        `json:"host,omitempty"`
@@ -89,7 +90,7 @@
 	m := relayed{Target: r.Target, Others: others}
 	if r.Build != nil {
 		b := r.Build()
-		m.Method, m.Path, m.Host, m.Header, m.Body, m.HasBody, m.MaxIdle, m.Verify = b.Method, b.Target, b.Host, b.Header, b.Body, b.HasBody, b.MaxIdle, r.Verify
+		m.ID, m.Method, m.Path, m.Host, m.Header, m.Body, m.HasBody, m.MaxIdle, m.Verify = b.ID, b.Method, b.Target, b.Host, b.Header, b.Body, b.HasBody, b.MaxIdle, r.Verify
 	}
 	body, err := wire.Marshal(m)
 	if err != nil {
@@ -219,7 +220,7 @@
 		return
 	}
 	resp, err := c.direct(r.Context(), Request{Target: m.Target, Verify: m.Verify, Build: func() dial.Request {
-		return dial.Request{Key: Key(m.Instance), Address: m.Address, Method: m.Method, Target: m.Path, Host: m.Host, Header: m.Header, Body: m.Body, HasBody: m.HasBody, MaxIdle: m.MaxIdle}
+		return dial.Request{ID: m.ID, Key: Key(m.Instance), Address: m.Address, Method: m.Method, Target: m.Path, Host: m.Host, Header: m.Header, Body: m.Body, HasBody: m.HasBody, MaxIdle: m.MaxIdle}
 	}})
 	if err != nil {
 		head, held := heldResult(err)
--- a/io/reach/relay_test.go
+++ b/io/reach/relay_test.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -64,7 +66,7 @@
 func (e *endpoint) request(body string) Request {
 	return Request{Target: e.Target, Build: func() dial.Request {
 		return dial.Request{
-			Key: Key(e.Instance), Address: e.Address, Method: http.MethodPost, Target: "/a%2Fb/../c?x=1&y", Host: "h.example", Body: []byte(body), HasBody: true,
+			ID: strconv.FormatUint(rand.Uint64(), 36), Key: Key(e.Instance), Address: e.Address, Method: http.MethodPost, Target: "/a%2Fb/../c?x=1&y", Host: "h.example", Body: []byte(body), HasBody: true,
 			Header: http.Header{"X-Mine": {"1", "2"}, "Path": {"p"}, "Method": {"m"}, "Result": {"r"}},
 		}
 	}}
