--- a/core/census/census.go
+++ b/core/census/census.go
@@ -66,8 +66,8 @@
 	Retention time.Duration
 	// follows is true for a census without heartbeats of its own, in which silence proves nothing.
 	follows bool
-	// heardFor is the time for which heartbeats have arrived, without the pauses in which none came from any endpoint: then this
-	// host or its links stood still. heardAt is the time of the latest heartbeat, and lastHeard the value of heardFor at the
+	// heardFor is the time for which heartbeats have arrived. It excludes pauses in which no endpoint sent any, because this host or
+	// its links were suspended. heardAt is the time of the latest heartbeat, and lastHeard the value of heardFor at the
 	// latest heartbeat of each endpoint.
 	heardFor  time.Duration
 	heardAt   ident.Time
--- a/core/census/doubt.go
+++ b/core/census/doubt.go
@@ -25,8 +25,8 @@
 	count    int
 }
 
-// mayPrevail reports whether a heartbeat that looks older can outweigh what is known. What an endpoint says of its own end is not in
-// doubt.
+// mayPrevail reports whether a heartbeat that looks older can replace the stored entry. It can't if the endpoint itself reported that it
+// drains or has left.
 func (c *Census) mayPrevail(e Entry) bool {
 	old, known := c.entries[e.Instance.ID]
 	return e.State == Ready && (!known || old.State == Ready || c.lostAddress[e.Instance.ID])
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -1,5 +1,5 @@
-// Package event tells the events of a stream from other bytes that an endpoint may send in their place: the text of an error, the head of
-// another answer, events that came before or skip some. Streams are server-sent events with increasing ids.
+// Package event validates server-sent events. It detects other bytes in a stream, such as the text of an error or the header of another
+// response, and events that are repeated or out of order. The ids of the events of a stream increase.
 package event
 
 import (
@@ -39,7 +39,7 @@
 // LastID returns the id of the last event.
 func (s *Stream) LastID() string { return s.lastID }
 
-// TakeUp says that another endpoint goes on with the stream.
+// TakeUp marks the next event as the first one that another endpoint sends.
 func (s *Stream) TakeUp() { s.taken = s.begun }
 
 // Split returns the number of bytes at the beginning of data that are complete events of the stream. The error says why the bytes after
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -98,7 +98,7 @@
 	// Step and Peer are the step and the peer at which the request failed.
 	Step string `json:"step"`
 	Peer string `json:"peer,omitempty"`
-	// Detail says what was wrong with a message, such as the field; empty where the reason says it all.
+	// Detail describes the error, such as the invalid field; it is empty if Reason needs no details.
 	Detail string `json:"detail,omitempty"`
 	// RetryAfter is the time after which the caller should retry; 0 when a retry is of no use.
 	RetryAfter time.Duration `json:"retry-after,omitempty"`
--- a/fakes/vlink/vlink.go
+++ b/fakes/vlink/vlink.go
@@ -21,8 +21,8 @@
 	// Loss is the probability that a message is dropped, as by a full queue.
 	Loss float64
 	// EncodeRate is how many bytes of messages a control host encodes in a second, in the goroutine that sends; 0 for no limit.
-	// Messages of the log carry bytes that are encoded already and take no time. Calls take none either, as hosts send them under a
-	// lock, and virtual time stands still while a goroutine waits for a lock.
+	// Messages of the log carry bytes that are encoded already and take no time. Calls take none either: hosts send them while they
+	// hold a mutex, and synctest does not advance the time while a goroutine waits for a mutex.
 	EncodeRate float64
 	// EntryRate is how many bytes the links of one entry host carry in a second, in each direction; 0 for no limit.
 	EntryRate float64
