Tell a repeated refusal from the next answer in the own mode, too

The own mode's client shared connections between repeatable requests and took a refusal written once more for the answer to the next one: with an engine that does so, 100 of 200 requests counted as not sent, though they ran. Requests that run at most once have a connection of their own and were not affected. A connection that has carried a 4xx now carries no further request: its status is read below net/http, which hands a connection on before it returns the response; a request that meets such a connection goes out on another one, as nothing was sent.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -48,7 +48,7 @@
 
 // New returns a client without open connections.
 func New(common logs.Common) *Client {
-	t := &http.Transport{MaxIdleConnsPerHost: poolSize, DisableCompression: true}
+	t := &http.Transport{DialContext: dialPooled, MaxIdleConnsPerHost: poolSize, DisableCompression: true}
 	return &Client{Common: common, pooled: &http.Client{Transport: t, CheckRedirect: noRedirect}}
 }
 
@@ -68,12 +68,11 @@
 	if !g.valid() {
 		return failure(d, work.NotSent, work.NoLease, ErrLeaseExpired)
 	}
-	req, err := newRequest(ctx, d, call)
-	if err != nil {
+	resp, err := send(ctx, client, d, call)
+	switch {
+	case errors.Is(err, errNoRequest):
 		return failure(d, work.NotSent, work.EndpointFailed, err)
-	}
-	resp, err := client.Do(req)
-	if err != nil {
+	case err != nil:
 		return failure(d, failedState(d.Request, g, err), failureReason(err), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/io/engine/engine_test.go
+++ b/io/engine/engine_test.go
@@ -50,9 +50,15 @@
 func serve(t *testing.T, answer http.HandlerFunc) (*endpoint, string) {
 	t.Helper()
 	e := &endpoint{answer: answer}
+	return e, newServer(t, e)
+}
+
+// newServer serves an endpoint and returns its URL.
+func newServer(t *testing.T, e *endpoint) string {
+	t.Helper()
 	server := httptest.NewServer(e)
 	t.Cleanup(server.Close)
-	return e, server.URL
+	return server.URL
 }
 
 // net/http by itself resends a request with an Idempotency-Key when a reused connection breaks. This test shows that
