--- a/core/grant/sim_test.go
+++ b/core/grant/sim_test.go
@@ -53,6 +53,12 @@
 	onEffects func(grant.Effects)
 	// loseOrders is the share of orders that get no answer and are carried out seconds later.
 	loseOrders float64
+	// noHeartbeats lists the engines whose heartbeats reach no host; they go on serving.
+	noHeartbeats map[ident.EndpointID]bool
+	// refuseFences is the number of orders that each engine still refuses for their fencing token.
+	refuseFences map[ident.EndpointID]int
+	// unserved tells how often each adapter was asked for since it was last served.
+	unserved map[ident.Adapter]int
 }
 
 type event struct {
@@ -87,6 +93,7 @@
 	t.Helper()
 	s := &sim{
 		t: t, rand: rand.New(rand.NewPCG(7, 9)), now: ident.Time(time.Hour), engines: map[ident.EndpointID]*simEngine{},
+		noHeartbeats: map[ident.EndpointID]bool{}, refuseFences: map[ident.EndpointID]int{}, unserved: map[ident.Adapter]int{},
 		loadTime: 250 * time.Millisecond, causes: map[grant.Cause]int{}, running: map[grant.ID]grant.RunningRequest{}, asks: map[grant.ID]grant.Ask{}, firstSent: map[grant.ID]ident.Time{},
 	}
 	s.layout = &layout.Layout{Version: 1, Services: []layout.Service{{Name: service, Engine: &layout.Engine{
@@ -123,6 +130,10 @@
 	if s.engines[e.entry.Instance.ID] != e {
 		return
 	}
+	if s.noHeartbeats[e.entry.Instance.ID] {
+		s.after(time.Second, func() { s.heartbeat(e) })
+		return
+	}
 	e.entry.Seq++
 	e.entry.LastHeartbeat = s.now
 	if e.modelReadyAt != 0 && s.now >= e.modelReadyAt {
@@ -201,6 +212,7 @@
 // askWith sends a request and fills in its id, service, target and default limits.
 func (s *sim) askWith(a grant.Ask) {
 	s.asked++
+	s.unserved[a.Ref.Adapter]++
 	s.nextID++
 	a.ID, a.Request = grant.ID(fmt.Sprintf("%s/%d", s.t.Name(), s.nextID)), fmt.Sprint(s.nextID)
 	a.Domain, a.Service, a.Target = "north", service, time.Second
@@ -269,6 +281,7 @@
 			slot.pins--
 		}
 		s.served++
+		delete(s.unserved, a.Ref.Adapter)
 		delete(s.running, a.ID)
 		s.auth.End(grant.End{ID: a.ID, Outcome: grant.Served, First: first}, s.now)
 	})
@@ -304,6 +317,10 @@
 
 // execute carries out an order as an engine would.
 func (s *sim) execute(e *simEngine, o grant.Order) grant.Result {
+	if s.refuseFences[e.entry.Instance.ID] > 0 {
+		s.refuseFences[e.entry.Instance.ID]--
+		return grant.Superseded
+	}
 	if o.Expect != e.orders {
 		return grant.Conflict
 	}
