Let entry hosts take no calls of endpoints, so that a cut of control paths leaves the data paths

Cause: each of the 70 entry hosts took the calls of endpoints and operators, so the cut took the paths for requests with it: all entry hosts logged time-outs of their own connections to engines (1,097 lines 'lost' in 4 s), and relays answered 'unreached'. Orders through relays had no answer as the relays were cut off, too.

Change: entry hosts serve callers only. A call host, a process beside the entry host on a tenth of the entry machines of each failure domain, takes the calls and passes them to the leader; the control hosts do so as before, so that one still host is one of six to thirteen. An entry host accepts links in any case, as relays did only where seeds could name it, at the second port beside a call host.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -243,8 +243,10 @@
 	f.Meter.Gauge("shallotgap_connections_reused", reused)
 }
 
-// Ready reports whether the host accepts new callers: it has a layout and is not draining.
-func (f *Front) Ready() bool { return f.router.Load().Layout != nil && !f.Draining() }
+// Ready reports whether the host accepts new callers: it has an address for them and a layout, and is not draining.
+func (f *Front) Ready() bool {
+	return f.Address != "" && f.router.Load().Layout != nil && !f.Draining()
+}
 
 // Reseed adds hosts from changed settings, or control hosts from a status, to the hosts to link to.
 func (f *Front) Reseed(seeds []ident.HostID) {
--- a/io/site/config.go
+++ b/io/site/config.go
@@ -1,4 +1,5 @@
-// Package site assembles and runs one host of a deployment: a control host, an entry host, or both in one process.
+// Package site assembles and runs one host of a deployment: a control host, an entry host, both in one process, or a call host, which only
+// passes the calls of operators and endpoints on to the leader.
 package site
 
 import (
@@ -69,18 +70,18 @@
 	}
 }
 
-// runsControlHost reports whether the process runs a control host. An entry host takes the calls of operators and endpoints
-// without one.
+// runsControlHost reports whether the process runs a control host. An entry host or a call host takes the calls of operators and
+// endpoints without one.
 func (c Config) runsControlHost() bool { return c.Control != "" && c.Folder != "" }
 
+// followsControlHosts reports whether the process follows the control hosts of others, as entry hosts and call hosts do.
+func (c Config) followsControlHosts() bool { return c.Callers != "" || !c.runsControlHost() }
+
 // Check returns an error if the settings are invalid.
 func (c Config) Check() error {
 	if c.Callers == "" && c.Control == "" {
 		return errors.New("neither callers nor operators are served")
 	}
-	if c.Callers == "" && c.Folder == "" {
-		return errors.New("a control host needs a data folder")
-	}
 	if c.Directory != "" && !c.runsControlHost() {
 		return errors.New("only a control host, which has a data folder, serves the directory")
 	}
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -146,7 +146,7 @@
 			return err
 		}
 	}
-	if h.Callers != "" {
+	if h.followsControlHosts() {
 		if err := h.startEntryHost(ctx); err != nil {
 			return err
 		}
@@ -214,13 +214,13 @@
 	return err
 }
 
+// startEntryHost starts an entry host, or a call host if it serves no callers.
 func (h *host) startEntryHost(ctx context.Context) error {
 	c := front.Config{
 		Self: ident.HostID(h.Name), Domain: h.Domain, Seeds: h.Seeds, Address: string(h.Callers), Dialect: h.edge.Dialect, Paths: h.paths,
 		RetryRatio: h.RetryRatio, RetryExtra: int(float64(h.RetryExtra) * serviceRetryShare), RetryWindow: h.RetryWindow,
 	}
-	servesControl := h.Control != "" && h.voter == nil // else the control host in this process serves it
-	if servesControl {
+	if h.voter == nil { // else the control host in this process accepts them
 		links, err := h.listenForLinks()
 		if err != nil {
 			return err
@@ -229,7 +229,7 @@
 	}
 	f := front.New(h.Common, h.meter, c)
 	h.front = f
-	if servesControl {
+	if h.voter == nil {
 		if err := h.serveControl(ctx, f, f.LeaderAddress); err != nil {
 			return err
 		}
@@ -240,6 +240,9 @@
 			return err
 		}
 	}
+	if h.Callers == "" {
+		return nil
+	}
 	server, err := h.serveWith(ctx, h.Callers, &http.Server{Handler: f, ConnState: f.ConnState()})
 	f.Server = server
 	return err
--- a/io/site/stop.go
+++ b/io/site/stop.go
@@ -36,7 +36,7 @@
 		h.voter.Stop()
 		sleep(ctx, min(leaderHandoverTime, h.Grace/4))
 	}
-	if h.front == nil {
+	if h.front == nil || h.Callers == "" {
 		return
 	}
 	now := clock.Boot()
