Let an engine's refusal of a fencing token concern that engine only

Cause: the authority took the 412 as news that it is superseded and sent no orders any more, without an end within the term. A leader that is superseded learns that from its log; what an engine says of its fence may be an old answer, an order of an earlier holder that arrived late, or a fault of that engine.

Change: the next order to that engine has a higher fencing token (Holders.Raise), after its report and a pause that doubles from 0.1 s to a minute; others are not touched. An engine that has had all 256 tokens of a term makes the leader give up the term, with a line 'fences-spent'.

--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -57,8 +57,6 @@
 	lateShares      map[ident.Service]float64
 	engineSummaries map[ident.Service]summary
 	effects         Effects
-	// superseded is set when an engine knows a newer fencing token; after that, this authority sends no orders.
-	superseded bool
 }
 
 // waiter is a request that waits for a grant.
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -26,6 +26,11 @@
 	orderPending      bool       // an order is sent and not answered
 	acceptedOrders    uint64     // number of orders that the engine has accepted
 	lastOrderAt       ident.Time // when the last order was answered
+	ordersNotBefore   ident.Time // earliest time of the next order; see holdOrders
+	fenceRefusals     int        // number of orders in a row that the engine has refused for their fencing token
+	fenceRefusedSince ident.Time // time of the first of these
+	doubtSince        ident.Time // since when, and why, the state is unknown
+	doubtCause        string
 	slots             map[book.AdapterRef]*slot
 	recentlyUnloaded  *recentAdapters // adapters unloaded recently, which this engine loads faster
 	promptCache       *promptCache
--- a/core/grant/grant.go
+++ b/core/grant/grant.go
@@ -180,7 +180,7 @@
 	Accepted   Result = iota + 1 // the engine has accepted the order and executes it
 	Holds                        // the engine already held the adapter, or completed the order at once
 	Conflict                     // the order was not carried out, usually because the order count differs from Expect
-	Superseded                   // the engine knows a newer fencing token
+	Superseded                   // the engine refuses the fencing token; the next order needs a higher one
 	Misplaced                    // another engine now listens at the order's address
 	Unknown                      // no answer came; the engine may still carry the order out
 )
--- a/core/grant/models.go
+++ b/core/grant/models.go
@@ -119,7 +119,7 @@
 
 // mayOrder reports whether an order may be sent to an engine now.
 func (t *Authority) mayOrder(e *engine, now ident.Time) bool {
-	return e.stateKnown && !e.orderPending && !t.superseded && e.usable(now, t.Params) && t.mayCall(e, now)
+	return e.stateKnown && !e.orderPending && now >= e.ordersNotBefore && e.usable(now, t.Params) && t.mayCall(e, now)
 }
 
 // mostRequestedModel returns the model with the most requests per engine that holds it, among those that fit into memory.
--- a/core/grant/orders.go
+++ b/core/grant/orders.go
@@ -51,7 +51,7 @@
 		return
 	}
 	s := e.slots[o.Ref]
-	if r == Unknown && e.resends < maxResends && !t.superseded {
+	if r == Unknown && e.resends < maxResends {
 		// All copies of the order have the same expected count: the engine carries out the first to arrive and rejects the rest.
 		e.resends++
 		e.unansweredAt = now
@@ -62,11 +62,13 @@
 	resent := e.resends > 0
 	e.orderPending, e.lastOrderAt, e.resends = false, now, 0
 	switch {
-	case r == Superseded:
-		t.superseded = true
-	case r == Conflict || r == Unknown || r == Misplaced:
-		if r == Unknown {
+	case r == Conflict || r == Unknown || r == Misplaced || r == Superseded:
+		switch r {
+		case Unknown:
 			e.failures.record(true, now) // neither the order nor any resend was answered
+		case Superseded:
+			t.holdOrders(e, now)
+		default:
 		}
 		if s != nil {
 			s.unloading = false
@@ -80,12 +82,14 @@
 		}
 	case o.Load:
 		e.acceptedOrders++
+		e.fenceRefusals = 0
 		if s != nil {
 			s.loadStartedAt, s.readyAt, s.accepted = now, now.Add(s.loadTime), true
 			s.storeLoadUntil = s.readyAt
 		}
 	default:
 		e.acceptedOrders++
+		e.fenceRefusals = 0
 		if s != nil && r == Holds {
 			e.release(o.Ref)
 			e.remember(o.Ref)
@@ -98,6 +102,23 @@
 	t.effects.Notes = append(t.effects.Notes, Note{Step: "ordered", Endpoint: o.Instance.ID, Outcome: r.String(), Inputs: fmt.Sprintf("adapter=%s load=%t expect=%d", o.Ref.Adapter, o.Load, o.Expect)})
 }
 
+// holdOrders sends an engine no orders for a while, as it has refused one for its fencing token. It says nothing of other engines: a leader that
+// is superseded learns that from the log.
+func (t *Authority) holdOrders(e *engine, now ident.Time) {
+	e.ordersNotBefore = now.Add(min(firstFencePause<<min(e.fenceRefusals, maxFencePauses), longestFencePause))
+	if e.fenceRefusals == 0 {
+		e.fenceRefusedSince = now
+	}
+	e.fenceRefusals++
+}
+
+// Pauses after orders that one engine has refused in a row for their fencing token; each next order has a higher one.
+const (
+	firstFencePause   = 100 * time.Millisecond // the next order is sent once the report has come
+	maxFencePauses    = 10                     // doublings, up to longestFencePause
+	longestFencePause = time.Minute            // the tokens of a term last for hours
+)
+
 // maxResends is how often an unanswered order is resent at once.
 const maxResends = 3
 
--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -296,9 +296,6 @@
 
 // addLoadCost adds the cost of loading the adapter first, and the delay until the load can be ordered.
 func (t *Authority) addLoadCost(o option, e *engine, a Ask, engine *layout.Engine, storeBusy bool, now ident.Time) (option, bool) {
-	if t.superseded {
-		return option{}, false
-	}
 	loading, _ := e.countLoads(now)
 	switch {
 	case !e.stateKnown && (e.hasReported || now.Sub(e.firstSeenAt) > firstReportTimeout), e.orderPending && e.resends > 0:
@@ -310,6 +307,7 @@
 	case loading >= t.MaxEngineLoads:
 		o.orderDelay = t.AdapterLoadTime / 2 // on average, until one of the loads completes
 	}
+	o.orderDelay = max(o.orderDelay, e.ordersNotBefore.Sub(now))
 	o.load = true
 	o.fromStore = !e.recentlyUnloaded.has(a.Ref)
 	loadDelay := t.AdapterLoadTime
--- a/core/reach/holder.go
+++ b/core/reach/holder.go
@@ -92,6 +92,22 @@
 	return false
 }
 
+// Raise gives the next order to an engine a higher fencing token, as the engine refused the latest one. It returns false if there is none.
+func (h *Holders) Raise(i ident.Instance) bool {
+	g := h.holdings[i]
+	if g == nil || h.Spent(i) {
+		return false
+	}
+	g.number++
+	return true
+}
+
+// Spent reports whether an engine has had the last fencing token of the term.
+func (h *Holders) Spent(i ident.Instance) bool {
+	g := h.holdings[i]
+	return g != nil && g.number+1 >= 1<<deputyBits
+}
+
 // Keep drops the engines for which known reports false.
 func (h *Holders) Keep(known func(ident.Instance) bool) {
 	maps.DeleteFunc(h.holdings, func(i ident.Instance, _ *holding) bool { return !known(i) })
--- a/core/reach/relay_test.go
+++ b/core/reach/relay_test.go
@@ -108,3 +108,26 @@
 		})
 	}
 }
+
+// An engine that refuses a fencing token gets a higher one from the same holder; the tokens of a term are not exceeded.
+func TestRaisedFences(t *testing.T) {
+	h := NewHolders(5, 3*time.Second)
+	i := target("a", 1).Instance
+	assert.Assert(t, !h.Raise(i), "nothing was sent yet")
+	now := ident.Time(time.Hour)
+	first, found := h.Choose(i, true, nil, now)
+	assert.Assert(t, found)
+	assert.Assert(t, h.Raise(i))
+	next, found := h.Choose(i, true, nil, now)
+	assert.Assert(t, found)
+	assert.Equal(t, next, Holder{Fence: first.Fence + 1})
+	raised := 1
+	for h.Raise(i) {
+		raised++
+	}
+	last, _ := h.Choose(i, true, nil, now)
+	assert.Equal(t, raised, 255)
+	assert.Assert(t, h.Spent(i))
+	assert.Assert(t, !h.Spent(target("a", 2).Instance))
+	assert.Assert(t, last.Fence < 6<<deputyBits, "a later term has higher tokens")
+}
--- a/io/voter/lead.go
+++ b/io/voter/lead.go
@@ -158,11 +158,18 @@
 func (v *Voter) sendOrder(ctx context.Context, o grant.Order, now ident.Time) {
 	lead := v.leadership
 	done := func(r grant.Result) {
-		if v.leadership == lead {
-			lead.authority.ApplyOrderResult(o, r, clock.Boot())
+		if v.leadership != lead {
+			return
 		}
+		if r == grant.Superseded && !lead.holders.Raise(o.Instance) {
+			v.renewTerm(o)
+		}
+		lead.authority.ApplyOrderResult(o, r, clock.Boot())
 	}
 	holder, found := v.chooseHolder(o, now)
+	if !found && lead.holders.Spent(o.Instance) {
+		v.renewTerm(o)
+	}
 	if now < lead.ordersFrom || !found {
 		v.post(func() { done(grant.Conflict) })
 		return
@@ -180,6 +187,13 @@
 	}()
 }
 
+// renewTerm gives up the leadership after an engine has had all fencing tokens of the term, as the next term has new ones. That takes hours of
+// refusals, or hundreds of changes of the holder.
+func (v *Voter) renewTerm(o grant.Order) {
+	v.Log.WithField("step", "order").WithField("endpoint", o.Instance.ID).WithField("term", v.leadership.term).Warn("fences-spent")
+	v.node.StepDown(quorum.ExcludeNone)
+}
+
 func (v *Voter) requestReport(ctx context.Context, t grant.Target) {
 	lead := v.leadership
 	v.Meter.Count("shallotgap_engine_reports_total")
