Keep engines in use by any sign of life, not by heartbeats alone

Cause: the authority takes an engine without a heartbeat for HeartbeatTimeout out of use, and asks only engines in use for reports, so that nothing but a heartbeat ends it. The class: one way of hearing of an endpoint stands for the endpoint. That reports which the leader could not send count against the engine was suspected; it costs rank only, and no-endpoint began at the fixed time after the last heartbeat instead.

Change: a served request or a report, by whatever path, counts as a sign of life. The leader tells the other control hosts (message 'alive', which earlier builds ignore), so that the next leader and the retention know. A report that no host could send does not count against the engine.

--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -139,6 +139,7 @@
 		t.sortedByID = nil
 	default:
 		models := old.entry.Models
+		e.LastHeartbeat = max(e.LastHeartbeat, old.entry.LastHeartbeat)
 		old.entry = e
 		if len(e.Models) == 0 {
 			old.entry.Models = models
@@ -155,7 +156,7 @@
 func (t *Authority) ObserveHeartbeat(i ident.Instance, now ident.Time) {
 	t.heardOf(i, now)
 	if e := t.engines[i.ID]; e != nil && e.entry.Instance == i {
-		e.entry.LastHeartbeat = now
+		e.entry.LastHeartbeat = max(e.entry.LastHeartbeat, now)
 	}
 }
 
@@ -298,6 +299,7 @@
 	t.endWatched(e, r, end, now)
 	switch end.Outcome {
 	case Served:
+		t.confirm(e, now)
 		t.learnPrefill(r, end.First)
 		t.learnLateShare(r.ask, end.Gap)
 		e.failures.record(false, now)
--- a/core/grant/expiry.go
+++ b/core/grant/expiry.go
@@ -6,7 +6,7 @@
 	"shallotgap/core/ident"
 )
 
-// expire ends requests whose end was never reported, removes engines without a heartbeat for forgetAfter, and trims the
+// expire ends requests whose end was never reported, removes engines without a sign of life for forgetAfter, and trims the
 // estimated prompt caches.
 func (t *Authority) expire(now ident.Time) {
 	for id, e := range t.engines {
@@ -29,8 +29,8 @@
 
 // Intervals and limits of housekeeping.
 const (
-	endGracePeriod    = 2 * time.Second  // an entry host reports the end of a request within a second after its deadline
-	forgetAfter       = 30 * time.Second // time without a heartbeat after which an engine is removed
+	endGracePeriod    = 2 * time.Second // an entry host reports the end of a request within a second after its deadline
+	forgetAfter       = time.Minute     // time without a sign of life after which an engine is removed; the census keeps it as long
 	expireEvery       = 100 * time.Millisecond
 	storeRankingEvery = 20 * time.Millisecond // short compared to the duration of a load
 	scanEvery         = 5 * time.Millisecond  // interval of scans over all engines; steps are far more frequent
--- a/core/grant/grant.go
+++ b/core/grant/grant.go
@@ -213,6 +213,8 @@
 	// Limits lists changes to the replicated table of limits, Sends the sends to endpoints with limits that were decided on.
 	Limits []limit.Command
 	Sends  []LimitedSend
+	// Alive lists engines that gave a sign of life though their heartbeats are overdue.
+	Alive []ident.Instance
 	// Granted tells the builds to which resumable streams were sent.
 	Granted []resume.Record
 	Notes   []Note
--- a/core/grant/sim_test.go
+++ b/core/grant/sim_test.go
@@ -373,7 +373,7 @@
 func (s *sim) sendReport(t grant.Target) {
 	e := s.engines[t.Instance.ID]
 	if e == nil || s.noReports {
-		s.after(200*time.Millisecond, func() { s.auth.ReportFailed(t.Instance, s.now) })
+		s.after(200*time.Millisecond, func() { s.auth.ReportFailed(t.Instance, true, s.now) })
 		return
 	}
 	r := grant.Report{Orders: e.orders, Models: e.entry.Models}
--- a/io/link/message.go
+++ b/io/link/message.go
@@ -44,6 +44,7 @@
 	Quorum          *quorum.Message         `json:"quorum,omitempty"`
 	Census          []census.Entry          `json:"census,omitempty"`
 	ShortHeartbeats []census.ShortHeartbeat `json:"beats,omitempty"`
+	Alive           []ident.Instance        `json:"alive,omitempty"` // endpoints that gave another sign of life than a heartbeat, for control hosts
 	Ask             *grant.Ask              `json:"ask,omitempty"`
 	Reply           *grant.Reply            `json:"reply,omitempty"`
 	End             *grant.End              `json:"end,omitempty"`
--- a/io/voter/lead.go
+++ b/io/voter/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/apex/log"
@@ -16,6 +17,7 @@
 	"shallotgap/core/resume"
 	"shallotgap/io/clock"
 	"shallotgap/io/link"
+	"shallotgap/io/reach"
 )
 
 // leadership is the state that a host has only while it is the leader.
@@ -126,6 +128,7 @@
 
 func (v *Voter) executeGrantEffects(ctx context.Context, e grant.Effects, now ident.Time) {
 	v.addStreams(e.Granted, now)
+	v.confirmAlive(e.Alive, now)
 	for _, r := range e.Replies {
 		v.mesh.Send(r.Host, link.Message{Reply: &r.Reply})
 	}
@@ -204,7 +207,7 @@
 		v.post(func() {
 			if err != nil {
 				if v.leadership == lead {
-					lead.authority.ReportFailed(t.Instance, clock.Boot())
+					lead.authority.ReportFailed(t.Instance, !errors.Is(err, reach.ErrNoPath), clock.Boot())
 				}
 				v.Log.WithField("step", "report").WithField("endpoint", t.Instance.ID).WithField("peer", t.Address).WithError(err).Warn("no-report")
 				return
--- a/io/voter/status.go
+++ b/io/voter/status.go
@@ -230,6 +230,16 @@
 	}
 }
 
+// confirmAlive records signs of life of engines whose heartbeats are overdue, and has the other control hosts told: the next leader must not
+// take them for dead.
+func (v *Voter) confirmAlive(list []ident.Instance, now ident.Time) {
+	for _, i := range list {
+		if v.census.Confirm(i, now) {
+			v.alive = append(v.alive, i)
+		}
+	}
+}
+
 // rejectOdd counts an entry that no endpoint can have written, and logs the first one of each endpoint that it names.
 func (v *Voter) rejectOdd(e census.Entry, err error) {
 	v.Meter.Count("shallotgap_heartbeats_total", "news", "odd")
@@ -263,13 +273,16 @@
 	if len(v.shortHeartbeats) > 0 {
 		v.mesh.SendAll(link.Message{ShortHeartbeats: v.shortHeartbeats}, func(h link.Hello) bool { return h.Control && h.ShortHeartbeats })
 	}
+	if len(v.alive) > 0 {
+		v.mesh.SendAll(link.Message{Alive: v.alive}, func(h link.Hello) bool { return h.Control })
+	}
 	if list = v.expandShortHeartbeats(list); v.hasLegacyPeers && len(list) > 0 {
 		v.mesh.SendAll(link.Message{Census: list}, func(h link.Hello) bool { return h.Control && !h.ShortHeartbeats })
 	}
 	if list := census.Followed(v.changedEndpoints, v.isPlain); len(list) > 0 {
 		v.mesh.SendAll(link.Message{Census: list}, func(h link.Hello) bool { return !h.Control })
 	}
-	v.changedEndpoints, v.fullHeartbeats, v.shortHeartbeats = nil, nil, nil
+	v.changedEndpoints, v.fullHeartbeats, v.shortHeartbeats, v.alive = nil, nil, nil, nil
 }
 
 // expandShortHeartbeats appends the full form of the short heartbeats to list, if a control host of an earlier version needs
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -112,7 +112,8 @@
 	lastTerm           ident.Term
 	lastOrder          ident.Time // time of the last order that this host sent as leader of an earlier term
 	shortHeartbeats    []census.ShortHeartbeat
-	hasLegacyPeers     bool // true once a control host that cannot read short heartbeats has connected
+	alive              []ident.Instance // see link.Message.Alive; sent with the next tick
+	hasLegacyPeers     bool             // true once a control host that cannot read short heartbeats has connected
 	// fullHeartbeats are heartbeats without a change that are sent in full, because the adapters differ from the previous
 	// heartbeat or the full form is due.
 	fullHeartbeats []census.Entry
@@ -314,6 +315,10 @@
 		v.observeEndpoints(m.Census, false)
 	case m.ShortHeartbeats != nil:
 		v.observeShort(m.ShortHeartbeats)
+	case m.Alive != nil:
+		for _, i := range m.Alive {
+			v.census.Confirm(i, now)
+		}
 	case m.Fetch != nil:
 		v.serveFetch(from.Host, *m.Fetch)
 	case m.Crashed != nil:
