Log states that shut engines and adapters for long, and rank adapters that were rejected higher

Cause: the rank of a waiting request forgets that its adapter was rejected before, and the bonus for shared loads and the penalty for lateness outweigh all of its waiting time.

Change: an adapter that was rejected and not granted since ranks higher by that time, up to what outweighs both. The same table tells which adapters go unserved; with engines in doubt, silent or refusing fences for over 3 s they make one line a second, 'shut', with the case that has lasted longest and its cause, and four gauges.

--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -57,6 +57,7 @@
 	lateShares      map[ident.Service]float64
 	engineSummaries map[ident.Service]summary
 	effects         Effects
+	shut            shutWatch
 }
 
 // waiter is a request that waits for a grant.
@@ -163,6 +164,9 @@
 // requestReport marks an engine's state as unknown and requests its report, not before the given time. No orders are sent to
 // the engine until the report has arrived.
 func (t *Authority) requestReport(e *engine, notBefore ident.Time, cause string) {
+	if e.stateKnown || e.doubtSince == 0 {
+		e.doubtSince, e.doubtCause = notBefore, cause
+	}
 	e.stateKnown, e.reportNotBefore = false, notBefore
 	t.effects.Notes = append(t.effects.Notes, Note{Step: "doubt", Endpoint: e.entry.Instance.ID, Outcome: "asked", Inputs: cause})
 }
@@ -349,6 +353,7 @@
 
 func (t *Authority) reject(a Ask, c Cause, retryAfter time.Duration, lastOption string) {
 	t.reply(a, Reply{ID: a.ID, Cause: c, After: retryAfter})
+	t.shut.refused(a, c, t.lastStep)
 	t.addNote("refuse", a, "", string(c), fmt.Sprintf("left=%dms sends=%d waiting=%d adapter=%s %s%s", a.Left.Milliseconds(), a.Sends, len(t.waiting), a.Ref.Adapter, lastOption, t.engineSummary(a.Service)))
 }
 
@@ -426,6 +431,7 @@
 		t.placeModels(now)
 		t.replaceOutdated(now)
 	}
+	t.stepShut(now)
 	t.countStoreLoads(now)
 	if now.Sub(t.lastStoreRanking) >= storeRankingEvery {
 		t.lastStoreRanking = now
--- a/core/grant/cutoff_test.go
+++ b/core/grant/cutoff_test.go
@@ -159,7 +159,7 @@
 	}{
 		"engines in doubt": {func(s *sim) { s.noReports, s.loseOrders = true, 1 }, "in-doubt="},
 		"a refused fence":  {func(s *sim) { s.refuseFences["e0"] = 1000 }, "fence-refused=1"},
-		"engines silent":   {func(s *sim) { s.noReports, s.noHeartbeats["e0"] = true, true }, "silent=1"},
+		"engines silent":   {func(s *sim) { s.crash("e0") }, "silent=1"},
 		"no engine":        {func(s *sim) { s.crash("e0"); s.crash("e1") }, "unserved="},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -128,7 +128,7 @@
 // applyReport updates the engine's state from its own report.
 func (e *engine) applyReport(r Report, now ident.Time, p Params) {
 	e.acceptedOrders = r.Orders
-	e.stateKnown, e.hasReported = true, true
+	e.stateKnown, e.hasReported, e.doubtSince = true, true, 0
 	e.entry.Models = r.Models
 	reported := map[book.AdapterRef]bool{}
 	for _, h := range r.Held {
--- a/core/grant/orders.go
+++ b/core/grant/orders.go
@@ -33,6 +33,7 @@
 	t.takeSend(e.entry.Instance, OrderSend, now)
 	o.Instance, o.Service, o.Address, o.Expect = e.entry.Instance, e.entry.Service, e.entry.Address, e.acceptedOrders
 	e.orderPending = true
+	t.shut.lastOrder = now
 	if s := e.slots[o.Ref]; s != nil && !o.Load {
 		s.unloading = true
 	}
--- a/core/grant/queue.go
+++ b/core/grant/queue.go
@@ -22,10 +22,13 @@
 	// latePenalty ranks requests that will miss their target behind the rest until most of the shortest deadline, 5 s, has
 	// passed.
 	latePenalty = 2 * time.Second
+	// maxUnserved limits the bonus of adapters that were rejected and not served since, which is the time since the first rejection. It
+	// outweighs lateness and shared loads, so that none that is requested again and again loses each time.
+	maxUnserved = latePenalty + maxSharedLoad*sharedLoadStep
 )
 
 // queue returns the waiting requests that are due, most urgent first. Requests with little time to spare, such as those with
-// long prompts, and requests that share a load rank higher. The waiting time outweighs all else in the end, so that no request
+// long prompts, and requests that share a load rank higher, as do those for adapters that were rejected lately. The waiting time outweighs all else in the end, so that no request
 // starves while more adapters are requested than the store can load, such as after a start or the loss of many engines.
 func (t *Authority) queue(now ident.Time) []*waiter {
 	list := make([]*waiter, 0, len(t.waiting))
@@ -49,6 +52,7 @@
 	if t.isNarrow(w.ask) {
 		r -= narrowStep
 	}
+	r -= min(t.shut.unservedFor(w.ask.Ref, now), maxUnserved)
 	if w.ask.Target <= 0 {
 		return r
 	}
--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -160,6 +160,7 @@
 	o.engine.startRun(a, now, o.uncachedTokens, o.prefill)
 	t.removeWaiter(a.ID)
 	t.placements[a.ID] = o.engine.entry.Instance.ID
+	t.shut.served(a.Ref)
 	if len(w.suspects) > 0 {
 		p.Watch = true
 		o.engine.running[a.ID].suspects = w.suspects
--- a/io/voter/relays.go
+++ b/io/voter/relays.go
@@ -65,6 +65,17 @@
 	return holders.Choose(o.Instance, direct, relays, now)
 }
 
+// gaugeHealth publishes what has been out of use for long; all is 0 on a host that does not lead.
+func (v *Voter) gaugeHealth() {
+	var h grant.Health
+	if v.leadership != nil {
+		h = v.leadership.authority.Health()
+	}
+	for name, n := range map[string]int{"engines_in_doubt": h.InDoubt, "engines_silent": h.Silent, "engines_refusing_fence": h.FenceRefused, "adapters_unserved": h.Unserved} {
+		v.Meter.Gauge("shallotgap_"+name, int64(n))
+	}
+}
+
 // learnPath adds an engine to those by which this host finds out whether it has any path.
 func (v *Voter) learnPath(e census.Entry) {
 	if v.Paths != nil && e.State == census.Ready && !v.isPlain(e.Service) {
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -270,6 +270,7 @@
 		v.node.StepDown(quorum.ExcludeNone)
 	}
 	if now >= v.nextStatus {
+		v.gaugeHealth()
 		if v.leadership != nil {
 			v.leadership.holders.Keep(func(i ident.Instance) bool { e, known := v.census.Get(i.ID); return known && e.Instance == i })
 		}
