Spread the orders of a cut-off leader over relays, and take them back after the cut

Change: the order of relays depends on the engine; the leader takes over again once its path is back and both it and the deputy have kept OrderPause.

--- a/core/reach/holder.go
+++ b/core/reach/holder.go
@@ -21,6 +21,7 @@
 // holding is who sends the orders to an engine.
 type holding struct {
 	deputy ident.HostID
+	since  ident.Time // when the holder took over
 	number ident.Fence
 	// lastBy holds the latest order of each machine that has sent some; the leader's name is empty.
 	lastBy map[ident.HostID]ident.Time
@@ -48,17 +49,21 @@
 		g = &holding{lastBy: map[ident.HostID]ident.Time{}}
 		h.holdings[i] = g
 	}
-	if !g.usable(direct, relays) && !h.replace(g, direct, relays, now) {
+	if !g.usable(direct, relays, h.Pause, now) && !h.replace(g, direct, relays, now) {
 		return Holder{}, false
 	}
 	g.lastBy[g.deputy] = now
 	return Holder{Fence: ident.Fence(h.Term)<<deputyBits + g.number, Deputy: g.deputy}, true
 }
 
-// usable reports whether the present holder has a path. A deputy goes on after the leader's path is back, as holders must not alternate.
-func (g *holding) usable(direct bool, relays []Relay) bool {
-	if g.deputy == "" {
+// usable reports whether the present holder has a path and is to go on. A deputy goes on for a while after the leader's path is back, as
+// holders must not alternate.
+func (g *holding) usable(direct bool, relays []Relay, pause time.Duration, now ident.Time) bool {
+	switch {
+	case g.deputy == "":
 		return direct
+	case direct && now.Sub(g.since) >= pause && now.Sub(g.lastBy[""]) >= pause:
+		return false
 	}
 	return slices.ContainsFunc(relays, func(r Relay) bool { return r.Host == g.deputy })
 }
@@ -85,7 +90,7 @@
 		if last, sent := g.lastBy[o]; o == g.deputy || (sent && now.Sub(last) < h.Pause) {
 			continue
 		}
-		g.deputy = o
+		g.deputy, g.since = o, now
 		g.number++
 		return true
 	}
--- a/core/reach/relay_test.go
+++ b/core/reach/relay_test.go
@@ -81,15 +81,18 @@
 		orders []order
 		want   string
 	}{
-		"a path":                       {[]order{{0, true, nil}, {0, true, nil}}, "leader 1280, leader 1280"},
-		"no path and no relay":         {[]order{{0, false, nil}}, "none"},
-		"a path that is lost":          {[]order{{0, true, nil}, {0, false, []Relay{d1}}}, "leader 1280, d1 1281"},
-		"a path that is back":          {[]order{{0, true, nil}, {0, false, []Relay{d1}}, {0, true, []Relay{d1}}}, "leader 1280, d1 1281, d1 1281"},
-		"a deputy that is lost":        {[]order{{0, false, []Relay{d1, d2}}, {0, false, []Relay{d2}}}, "d1 1281, d2 1282"},
-		"a deputy that is lost, alone": {[]order{{0, false, []Relay{d1}}, {0, false, nil}}, "d1 1281, none"},
-		"the leader again too soon":    {[]order{{0, true, nil}, {0, false, []Relay{d1}}, {time.Second, true, nil}}, "leader 1280, d1 1281, none"},
-		"the leader again":             {[]order{{0, true, nil}, {0, false, []Relay{d1}}, {3 * time.Second, true, nil}}, "leader 1280, d1 1281, leader 1282"},
-		"a former deputy too soon":     {[]order{{0, false, []Relay{d1}}, {0, false, []Relay{d2}}, {time.Second, false, []Relay{d1}}}, "d1 1281, d2 1282, none"},
+		"a path":                                       {[]order{{0, true, nil}, {0, true, nil}}, "leader 1280, leader 1280"},
+		"no path and no relay":                         {[]order{{0, false, nil}}, "none"},
+		"a path that is lost":                          {[]order{{0, true, nil}, {0, false, []Relay{d1}}}, "leader 1280, d1 1281"},
+		"a path that is back":                          {[]order{{0, true, nil}, {0, false, []Relay{d1}}, {0, true, []Relay{d1}}}, "leader 1280, d1 1281, d1 1281"},
+		"a deputy that is lost":                        {[]order{{0, false, []Relay{d1, d2}}, {0, false, []Relay{d2}}}, "d1 1281, d2 1282"},
+		"a deputy that is lost, alone":                 {[]order{{0, false, []Relay{d1}}, {0, false, nil}}, "d1 1281, none"},
+		"the leader again too soon":                    {[]order{{0, true, nil}, {0, false, []Relay{d1}}, {time.Second, true, nil}}, "leader 1280, d1 1281, none"},
+		"the leader again":                             {[]order{{0, true, nil}, {0, false, []Relay{d1}}, {3 * time.Second, true, nil}}, "leader 1280, d1 1281, leader 1282"},
+		"the leader again with a deputy left":          {[]order{{0, true, nil}, {0, false, []Relay{d1}}, {3 * time.Second, true, []Relay{d1}}}, "leader 1280, d1 1281, leader 1282"},
+		"a deputy goes on for a while":                 {[]order{{0, true, nil}, {time.Second, false, []Relay{d1}}, {2 * time.Second, true, []Relay{d1}}, {time.Second, true, []Relay{d1}}}, "leader 1280, d1 1281, d1 1281, leader 1282"},
+		"a deputy that took over after a long silence": {[]order{{0, true, nil}, {time.Minute, false, []Relay{d1}}, {time.Second, true, []Relay{d1}}}, "leader 1280, d1 1281, d1 1281"},
+		"a former deputy too soon":                     {[]order{{0, false, []Relay{d1}}, {0, false, []Relay{d2}}, {time.Second, false, []Relay{d1}}}, "d1 1281, d2 1282, none"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := NewHolders(5, 3*time.Second)
--- a/io/voter/relays.go
+++ b/io/voter/relays.go
@@ -16,8 +16,8 @@
 	return e.presence.Lost != nil && len(e.presence.Lost.Services) > 0
 }
 
-// relaysFor returns entry hosts that can send to endpoints for a host that has lost paths.
-func (v *Voter) relaysFor(host ident.HostID, domain ident.DomainID, lost corereach.Faults, now ident.Time) []corereach.Relay {
+// relaysFor returns entry hosts that can send to endpoints for a host that has lost paths. Equal ones are in an order that depends on the key.
+func (v *Voter) relaysFor(host ident.HostID, domain ident.DomainID, lost corereach.Faults, key string, now ident.Time) []corereach.Relay {
 	var list []corereach.Relay
 	for _, e := range v.entryHosts {
 		if e.hello.Host == host || e.hello.Address == "" || !e.presence.Ready || now.Sub(e.receivedAt) > presenceTTL {
@@ -31,7 +31,7 @@
 	}
 	return corereach.ChooseRelays(list, lost, domain, func(r corereach.Relay) uint64 {
 		h := fnv.New64a()
-		_, _ = h.Write([]byte(host + "/" + r.Host))
+		_, _ = h.Write([]byte(key + "/" + string(r.Host)))
 		return h.Sum64()
 	})
 }
@@ -41,7 +41,7 @@
 	if p.Lost == nil {
 		return
 	}
-	v.mesh.Send(to.Host, link.Message{Relays: &link.Relays{List: v.relaysFor(to.Host, to.Domain, *p.Lost, now)}})
+	v.mesh.Send(to.Host, link.Message{Relays: &link.Relays{List: v.relaysFor(to.Host, to.Domain, *p.Lost, string(to.Host), now)}})
 }
 
 // setOwnRelays tells this host's client which hosts can send for it, while it has lost paths.
@@ -50,7 +50,7 @@
 		return
 	}
 	if lost := v.Paths.Faults(); !lost.Empty() {
-		v.Paths.SetRelays(v.relaysFor(v.Self, v.Domain, lost, now))
+		v.Paths.SetRelays(v.relaysFor(v.Self, v.Domain, lost, string(v.Self), now))
 	}
 }
 
@@ -60,7 +60,8 @@
 	direct := v.Paths == nil || v.Paths.Direct(corereach.Target{Instance: o.Instance, Service: o.Service, Address: o.Address})
 	var relays []corereach.Relay
 	if !direct || holders.HasDeputy(o.Instance) {
-		relays = slices.DeleteFunc(v.relaysFor(v.Self, v.Domain, v.Paths.Faults(), now), func(r corereach.Relay) bool { return r.Without.Lacks(o.Instance, o.Service) })
+		// Each engine has an order of its own, so that the work is spread over the relays.
+		relays = slices.DeleteFunc(v.relaysFor(v.Self, v.Domain, v.Paths.Faults(), string(o.Instance.ID), now), func(r corereach.Relay) bool { return r.Without.Lacks(o.Instance, o.Service) })
 	}
 	return holders.Choose(o.Instance, direct, relays, now)
 }
