Answer each request that a stopping entry host has taken, and take none that outlasts it

Cause: for 2.5 s any request was taken, however long it could last, and what still ran at the end of the grace was cut by the end of the process. A host also ended at once when it had no requests of its own, though it sent some for other hosts, and one that is a control host as well began its drain 1.2 s late.

Change: a request is taken only if it should be over in time, by how long requests of its route took lately on this host or, if nothing is known, by its time limit. It is asked again before each send, so that a late place or a second try is not begun in vain. What still runs at the end gets an answer: 503 where it never ran, 502 in doubt; a stream is cut without its end. The process waits for what it sends for others. The drain begins at the signal.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -15,6 +15,7 @@
 
 	"shallotgap/core/book"
 	"shallotgap/core/census"
+	"shallotgap/core/grace"
 	"shallotgap/core/grant"
 	"shallotgap/core/heed"
 	"shallotgap/core/ident"
@@ -149,8 +150,11 @@
 	mesh         link.Network
 	ownPaths     bool // Run keeps Paths running
 	router       atomic.Pointer[layout.Router]
-	layoutLoaded chan struct{}                  // closed when the first layout has arrived
-	drain        atomic.Pointer[DrainDeadlines] // nil until Drain is called
+	layoutLoaded chan struct{}              // closed when the first layout has arrived
+	stop         atomic.Pointer[grace.Stop] // nil until Drain is called
+	// ending is done when this host ends its requests; endRequests does that.
+	ending      context.Context
+	endRequests context.CancelCauseFunc
 
 	mu             sync.Mutex
 	census         *census.Follower
@@ -178,6 +182,7 @@
 	streams        *resume.Table                   // builds that wrote to the streams of this host
 	grantSeq       uint64                          // number of the latest grant request; part of its id, as is startedAt
 	startedAt      ident.Time
+	durations      *grace.Durations // how long requests took lately
 }
 
 // New returns an entry host; Run starts it.
@@ -187,6 +192,8 @@
 		limits: newHostLimits(), heed: heed.NewTable(), permitTimes: map[ident.Service]permitTimes{}, newestVersions: map[book.AdapterRef]book.WeightsVersion{}, controlStatus: map[ident.HostID]link.Status{}, operators: map[ident.HostID]string{}, grantRequests: map[grant.ID]*grantRequest{},
 		lastServed: map[book.AdapterRef]servedPlace{}, retryBudgets: map[ident.Service]*grant.Budget{}, sendCounts: map[ident.Service]*grant.Budget{}, streams: resume.NewTable(resume.LifeOf(nil), resume.Capacity), startedAt: clock.Boot(), entryHosts: 1,
 	}
+	f.durations = grace.NewDurations()
+	f.ending, f.endRequests = context.WithCancelCause(context.Background())
 	f.ownPaths = c.Paths == nil
 	if f.ownPaths {
 		f.Paths = reach.New(common, reach.Config{Greeting: func(i ident.Instance) *dial.Greeting { return c.Dialect.Greeting(i) }, Said: func(status int, h http.Header) heed.Said { return c.Dialect.Said(status, h) }, Meter: meter})
--- a/io/front/plain.go
+++ b/io/front/plain.go
@@ -30,6 +30,10 @@
 		if ex.rejectBlocked() {
 			return
 		}
+		if ex.outlastsHost() {
+			ex.fail(stoppingCause, drainRetryAfter)
+			return
+		}
 		if ex.sends > 0 && !ex.spendRetry() {
 			ex.fail("budget-spent", failedRetryAfter)
 			return
@@ -173,6 +177,7 @@
 		ex.endSend(e, pick.Good, v.Load)
 	}
 	ex.recordSound()
+	ex.noteDuration()
 	if ex.route.Kind == layout.Stream && resp.StatusCode/100 == http.StatusOK/100 {
 		ex.bindTo(e.Build, "", true)
 	}
--- a/io/front/serve.go
+++ b/io/front/serve.go
@@ -62,11 +62,11 @@
 		timeout = min(timeout, ex.call.Timeout)
 	}
 	ex.deadline = ex.receivedAt.Add(timeout - responseMargin)
-	if ex.exceedsDrain() {
-		ex.rejectNotRun(http.StatusServiceUnavailable, "stopping", drainRetryAfter)
+	if ex.outlastsHost() {
+		ex.rejectNotRun(http.StatusServiceUnavailable, stoppingCause, drainRetryAfter)
 		return
 	}
-	ctx, cancel := context.WithTimeoutCause(r.Context(), ex.deadline.Sub(clock.Boot()), errDeadlinePassed)
+	ctx, cancel := ex.withEnd()
 	defer cancel()
 	if ex.Paths.Hopeless(ex.service.Name) {
 		ex.fail(noPathCause, failedRetryAfter)
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -50,7 +50,12 @@
 		a.Bound, a.Build = ex.bound, ex.build
 		req, reply := ex.awaitGrant(ctx, a)
 		if reply.Place == nil {
-			ex.fail(string(reply.Cause), reply.After)
+			ex.failUnplaced(ctx, reply)
+			return
+		}
+		if ex.outlastsHost() {
+			ex.release(req, grant.Cancelled, 0, 0)
+			ex.fail(stoppingCause, drainRetryAfter)
 			return
 		}
 		lastAttempt := !ex.route.Resumable || runs+1 >= ex.route.Attempts
@@ -80,10 +85,22 @@
 // requests typically does so for some hundred ms.
 const failedRetryAfter = 250 * time.Millisecond
 
+// failUnplaced ends a request that got no place.
+func (ex *exchange) failUnplaced(ctx context.Context, reply grant.Reply) {
+	if errors.Is(context.Cause(ctx), errStopping) {
+		ex.fail(stoppingCause, drainRetryAfter)
+		return
+	}
+	ex.fail(string(reply.Cause), reply.After)
+}
+
 // failureCause returns the cause to report for a failed request, from its context.
 func failureCause(ctx context.Context) string {
-	if errors.Is(context.Cause(ctx), errDeadlinePassed) {
+	switch {
+	case errors.Is(context.Cause(ctx), errDeadlinePassed):
 		return "time-over"
+	case errors.Is(context.Cause(ctx), errStopping):
+		return stoppingCause
 	}
 	return "endpoint-failed"
 }
@@ -155,6 +172,7 @@
 	case err == nil:
 		ex.recordWritten(ex.call.Parts)
 		ex.recordSound()
+		ex.noteDuration()
 		ex.release(req, grant.Served, first, events.maxGap)
 		ex.Meter.ObserveDuration("shallotgap_first_event_seconds", events.firstAt.Sub(ex.receivedAt))
 		ex.logDecision("end", p.Instance.ID, "served", fmt.Sprintf("first=%dms gap=%dms prompt=%d", events.firstAt.Sub(ex.receivedAt).Milliseconds(), events.maxGap.Milliseconds(), ex.call.Prompt))
--- a/io/reach/relay.go
+++ b/io/reach/relay.go
@@ -80,6 +80,23 @@
 // Drain stops relaying for other hosts; what runs is completed.
 func (s *served) Drain() { s.draining.Store(true) }
 
+// AwaitRelayed waits until nothing runs any more for other hosts, or until the context ends, and reports whether nothing does.
+func (s *served) AwaitRelayed(ctx context.Context) bool {
+	tick := time.NewTicker(relayedCheck)
+	defer tick.Stop()
+	for s.count.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-tick.C:
+		}
+	}
+	return true
+}
+
+// relayedCheck is the interval of looks at what runs for other hosts.
+const relayedCheck = 10 * time.Millisecond
+
 var (
 	errRefused  = errors.New("the relay sends nothing for other hosts now")
 	errBadReply = errors.New("the relay's reply cannot be read")
--- a/io/site/stop.go
+++ b/io/site/stop.go
@@ -7,8 +7,8 @@
 	"os"
 	"time"
 
+	"shallotgap/core/grace"
 	"shallotgap/io/clock"
-	"shallotgap/io/front"
 )
 
 // Periods of a host's stop, from the stop signal on.
@@ -16,11 +16,10 @@
 	// callerDrainTime is how long a stopping host still accepts connections. By then, most callers have fetched a new address
 	// list; the others find the port closed and connect to another address.
 	callerDrainTime = addressTTL + 1200*time.Millisecond
-	// longRequestWindow is how long a stopping host accepts requests that may outlast its grace period. The platform
-	// attributes an aborted request to the stop if it arrived within 3 s of the signal; 0.5 s of that is left for network delay.
-	longRequestWindow = 2500 * time.Millisecond
-	// drainMargin is how long before the end of the grace period the remaining responses are aborted.
+	// drainMargin is how long before the end of the grace period the remaining requests are ended, and exitMargin how long before it the
+	// process ends, so that their answers still arrive.
 	drainMargin = 400 * time.Millisecond
+	exitMargin  = 150 * time.Millisecond
 	// leaderHandoverTime is how long a stopping control host continues to serve while the others elect a leader.
 	leaderHandoverTime = 1200 * time.Millisecond
 )
@@ -32,6 +31,9 @@
 func (h *host) drain(ctx context.Context) {
 	start := time.Now()
 	h.Log.WithField("grace", h.Grace.String()).Info("stopping")
+	if h.front != nil {
+		h.front.Drain(grace.Stop{CloseAt: clock.Boot().Add(h.Grace - drainMargin)})
+	}
 	if h.voter != nil {
 		h.voter.Stop()
 		sleep(ctx, min(leaderHandoverTime, h.Grace/4))
@@ -39,13 +41,12 @@
 	if h.front == nil || h.Callers == "" {
 		return
 	}
-	now := clock.Boot()
-	h.front.Drain(front.DrainDeadlines{AdmitLongUntil: now.Add(min(longRequestWindow, h.Grace/2)), CloseAt: now.Add(h.Grace - drainMargin)})
 	sleep(ctx, min(callerDrainTime, h.Grace/2)-time.Since(start))
-	ctx, cancel := context.WithTimeout(ctx, h.Grace-drainMargin-time.Since(start))
+	ctx, cancel := context.WithTimeout(ctx, h.Grace-exitMargin-time.Since(start))
 	defer cancel()
 	err := h.front.Server.Shutdown(ctx)
-	h.Log.WithField("whole", err == nil).WithField("took", time.Since(start).String()).Info("drained")
+	relayed := h.paths.AwaitRelayed(ctx)
+	h.Log.WithField("whole", err == nil && relayed).WithField("took", time.Since(start).String()).Info("drained")
 }
 
 func sleep(ctx context.Context, d time.Duration) {
