Give a call host an ID of its own beside the entry host of its machine

Cause: both processes linked to the control hosts under the name of their machine, so that each new link replaced that of the other, and changes went to one of them.

Result: TestCallHostBesideEntryHost failed before (no configuration was acknowledged through the call host within 20 s), passes.

--- a/io/site/site.go
+++ b/io/site/site.go
@@ -217,7 +217,7 @@
 // startEntryHost starts an entry host, or a call host if it serves no callers.
 func (h *host) startEntryHost(ctx context.Context) error {
 	c := front.Config{
-		Self: ident.HostID(h.Name), Domain: h.Domain, Seeds: h.Seeds, Address: string(h.Callers), Dialect: h.edge.Dialect, Paths: h.paths,
+		Self: h.followerID(), Domain: h.Domain, Seeds: h.Seeds, Address: string(h.Callers), Dialect: h.edge.Dialect, Paths: h.paths,
 		RetryRatio: h.RetryRatio, RetryExtra: int(float64(h.RetryExtra) * serviceRetryShare), RetryWindow: h.RetryWindow,
 	}
 	if h.voter == nil { // else the control host in this process accepts them
@@ -248,6 +248,17 @@
 	return err
 }
 
+// followerID returns the ID of an entry host or a call host. Both may run on one machine, whose name they share.
+func (h *host) followerID() ident.HostID {
+	if h.Callers == "" {
+		return ident.HostID(h.Name + callHostSuffix)
+	}
+	return ident.HostID(h.Name)
+}
+
+// callHostSuffix tells the ID of a call host from that of an entry host.
+const callHostSuffix = "/calls"
+
 // serve answers HTTP requests on an address until the context ends.
 func (h *host) serve(ctx context.Context, l Listen, handler http.Handler) (*http.Server, error) {
 	return h.serveWith(ctx, l, &http.Server{Handler: handler})
