Begin no stream without a leader that a leader may have granted elsewhere

What callers saw: a stream with events of two builds. A host sends its ask, the reply is lost, as its links lose one direction, and the links break. After 0.6 s the host begins the stream at the engine that last served the adapter, of build v2, and its record of that is lost with the links. Its caller takes the stream up at another host: the leader's record of the grant, which is made when the grant is sent, says v1.

Change: a resumable stream that was asked for at any leader is not begun without one; it waits for the next leader or is rejected as not run. What was never asked for begins as before, as no leader has a record of it.

Not shown and not excluded: the first engine of a new build that starts again under the id of an old one, in the second before its heartbeat, where connections are not verified yet.

--- a/fakes/vlink/vlink.go
+++ b/fakes/vlink/vlink.go
@@ -35,11 +35,13 @@
 	rand  *rand.Rand
 	ports map[ident.HostID]*port
 	cuts  map[[2]ident.HostID]bool
+	// muted are the directions in which messages are lost on links that stay open, each from one host to another.
+	muted map[[2]ident.HostID]bool
 }
 
 // New returns a network without hosts.
 func New(c Config) *Network {
-	return &Network{Config: c, rand: rand.New(rand.NewPCG(c.Seed, 1)), ports: map[ident.HostID]*port{}, cuts: map[[2]ident.HostID]bool{}}
+	return &Network{Config: c, rand: rand.New(rand.NewPCG(c.Seed, 1)), ports: map[ident.HostID]*port{}, cuts: map[[2]ident.HostID]bool{}, muted: map[[2]ident.HostID]bool{}}
 }
 
 // Open returns the network of one host; it is a link.Opener. A host that was opened under the same id before must have ended.
@@ -56,6 +58,13 @@
 	n.breakLink(a, b)
 }
 
+// Mute loses all messages from one host to another until Heal is called; the link stays open, and the other direction goes on.
+func (n *Network) Mute(from, to ident.HostID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.muted[[2]ident.HostID{from, to}] = true
+}
+
 // LinkedTo returns the hosts to which a host is linked, in order.
 func (n *Network) LinkedTo(h ident.HostID) []ident.HostID {
 	n.mu.Lock()
@@ -71,6 +80,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	clear(n.cuts)
+	clear(n.muted)
 	n.connect()
 }
 
@@ -185,7 +195,7 @@
 		return false
 	}
 	data := m.For(p.network.ports[to].Self)
-	if p.network.rand.Float64() < p.network.Loss {
+	if p.network.rand.Float64() < p.network.Loss || p.network.muted[[2]ident.HostID{p.Self.Host, to}] {
 		return true
 	}
 	q := queued{data: data, sentAt: p.carry(&p.sentAt, len(data))}
--- a/io/front/grants.go
+++ b/io/front/grants.go
@@ -49,6 +49,8 @@
 	uncertain bool
 	// busy is true if all places of this host at a brittle engine were taken when it last looked for one without a leader.
 	busy bool
+	// asked is true once the request was sent to a leader, which may have granted an engine.
+	asked bool
 	// answered is true once a reply was passed to reply, which holds one. A resent request may get several.
 	answered bool
 	reply    chan grant.Reply
@@ -170,6 +172,7 @@
 	f.mu.Lock()
 	leader, a := f.leader, req.msg
 	a.Left -= clock.Boot().Sub(req.openedAt)
+	req.asked = req.asked || leader != ""
 	f.mu.Unlock()
 	if leader != "" {
 		f.mesh.Send(leader, link.Message{Ask: &a})
@@ -276,6 +279,11 @@
 	if f.leader != "" || req.place != nil || req.msg.Sends > 0 || !waited {
 		return grant.Reply{}, false
 	}
+	if req.asked && req.msg.Resumable && !req.msg.Bound {
+		// A leader may have granted an engine of another build. If this host then goes on without it, another host that takes the stream up
+		// learns from the leader's record that the other build began it.
+		return grant.Reply{}, false
+	}
 	s, found := f.lastServed[req.msg.Ref]
 	p := s.place
 	if !found {
