--- a/core/grant/cutoff_test.go
+++ b/core/grant/cutoff_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -183,3 +185,81 @@
 		})
 	}
 }
+
+// Whatever shuts engines for a while, in series and at once, no adapter that is asked for again and again stays without a served request for long
+// while an engine can be reached.
+func TestNoAdapterStaysUnserved(t *testing.T) {
+	const (
+		seeds   = 40
+		longest = 10 * time.Second // two states of shutAfter each, the load and a retry of the caller
+	)
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			s := newSim(t, 6)
+			r := rand.New(rand.NewPCG(seed, 42))
+			s.advance(time.Second)
+			engine := func() ident.EndpointID {
+				ids := slices.Sorted(maps.Keys(s.engines))
+				return ids[r.IntN(len(ids))]
+			}
+			length := func() time.Duration { return time.Duration(500+r.IntN(7500)) * time.Millisecond }
+			disturb := []func(){
+				func() {
+					for _, id := range []ident.EndpointID{engine(), engine(), engine()} {
+						s.noHeartbeats[id] = true
+						s.after(length(), func() { delete(s.noHeartbeats, id) })
+					}
+				},
+				func() {
+					for id := range s.engines {
+						s.noHeartbeats[id] = true
+					}
+					s.after(length(), func() { clear(s.noHeartbeats) })
+				},
+				func() { s.loseOrders = 0.4; s.after(length(), func() { s.loseOrders = 0 }) },
+				func() { s.noReports = true; s.after(length()/4, func() { s.noReports = false }) },
+				func() { s.refuseFences[engine()] = 1 + r.IntN(4) },
+				func() { s.failover() },
+				func() {
+					if len(s.engines) > 4 {
+						s.crash(engine())
+						s.addEngine(fmt.Sprint("new", s.now), true)
+					}
+				},
+			}
+			type asking struct {
+				since ident.Time
+				count int
+			}
+			asked := map[ident.Adapter]asking{}
+			s.onEffects = func(e grant.Effects) {
+				for _, reply := range e.Replies {
+					if reply.Reply.Place != nil {
+						delete(asked, s.asks[reply.Reply.ID].Ref.Adapter)
+					}
+				}
+			}
+			for s.now.Sub(ident.Time(time.Hour)) < 60*time.Second {
+				if r.IntN(20) == 0 {
+					disturb[r.IntN(len(disturb))]()
+				}
+				for range 4 {
+					a := ident.Adapter(s.zipf(40, 1))
+					if asked[a].count == 0 {
+						asked[a] = asking{since: s.now}
+					}
+					asked[a] = asking{asked[a].since, asked[a].count + 1}
+					s.ask(string(a), 0)
+					s.advance(50 * time.Millisecond)
+				}
+				for a, w := range asked {
+					if w.count >= 4 && s.now.Sub(w.since) > longest {
+						t.Fatalf("adapter %s was asked for %d times in %v and never granted; rejections by cause %v", a, w.count, s.now.Sub(w.since), s.causes)
+					}
+				}
+			}
+			assert.Equal(t, s.overfilled, 0, "an engine was ordered to load more adapters than it has slots")
+			assert.Equal(t, s.unloadsInUse, s.lateUnloadsInUse, "an engine was ordered to unload an adapter in use")
+		})
+	}
+}
