Rank adapters for the store whose only holder is lost

What callers saw: an adapter whose only engine crashed or went silent was never loaded elsewhere while the store was busy: 0 of 5 requests got a place, until the engine was forgotten.

Cause: the queue for the store leaves out adapters that any engine holds, and what is not in the queue is taken for the end of it.

Result: TestAdapterOfALostEngineIsLoadedAgain failed before with 0 of 5, passes with 4 and more.

--- a/core/grant/authority.go
+++ b/core/grant/authority.go
@@ -435,7 +435,7 @@
 	t.countStoreLoads(now)
 	if now.Sub(t.lastStoreRanking) >= storeRankingEvery {
 		t.lastStoreRanking = now
-		t.rankStoreQueue()
+		t.rankStoreQueue(now)
 	}
 	for _, w := range t.queue(now) {
 		t.decide(w, now)
--- a/core/grant/storequeue.go
+++ b/core/grant/storequeue.go
@@ -11,10 +11,10 @@
 
 // rankStoreQueue ranks the adapters that wait for a load from the store, most urgent first. It matters when more adapters are
 // requested than the store can load, such as after a start, the loss of many engines or a change of the leader.
-func (t *Authority) rankStoreQueue() {
+func (t *Authority) rankStoreQueue(now ident.Time) {
 	lowestRank := map[book.AdapterRef]time.Duration{}
 	for _, w := range t.waiting {
-		if len(t.residency.holders[w.ask.Ref]) > 0 {
+		if t.hasHolder(w.ask.Ref, now) {
 			continue // the adapter is resident or being loaded
 		}
 		if r, known := lowestRank[w.ask.Ref]; !known || w.rank < r {
@@ -35,6 +35,13 @@
 	t.storeQueueLength = len(refs)
 }
 
+// hasHolder reports whether an engine that can be sent requests holds or loads an adapter.
+func (t *Authority) hasHolder(ref book.AdapterRef, now ident.Time) bool {
+	return slices.ContainsFunc(t.residency.holders[ref], func(e *engine) bool {
+		return e.usable(now, t.Params) && !e.failures.recentlyUnreachable("", now)
+	})
+}
+
 // storeWait returns the expected time until the store can start to load an adapter.
 func (t *Authority) storeWait(ref book.AdapterRef) time.Duration {
 	rank, known := t.storeRank[ref]
--- a/core/grant/storequeue_test.go
+++ b/core/grant/storequeue_test.go
@@ -97,3 +97,38 @@
 	assert.Equal(t, len(s.running)+s.served+s.rejected, s.asked, "some requests still wait")
 	assert.Assert(t, s.rejected > 0)
 }
+
+// The only engine that holds an adapter has crashed or gone silent, while the store has more to load than it can. The adapter takes its place in
+// the queue like those that no engine holds.
+func TestAdapterOfALostEngineIsLoadedAgain(t *testing.T) {
+	const (
+		engines = 16
+		limit   = engines / 2
+	)
+	s := newSim(t, engines)
+	s.storeLoadLimit = limit
+	s.advance(time.Second)
+	var granted ident.EndpointID
+	grants := 0
+	s.onEffects = func(e grant.Effects) {
+		for _, r := range e.Replies {
+			if r.Reply.Place != nil && s.asks[r.Reply.ID].Ref.Adapter == "held" {
+				granted = r.Reply.Place.Instance.ID
+				grants++
+			}
+		}
+	}
+	s.ask("held", 0)
+	s.advance(2 * time.Second)
+	assert.Equal(t, grants, 1)
+	s.crash(granted)
+	n := 0
+	rare := func() string { n++; return fmt.Sprintf("rare%d", n) }
+	s.traffic(6*limit/s.loadTime.Seconds(), 6*time.Second, rare) // until the engine counts as lost
+	grants = 0
+	for range 5 {
+		s.ask("held", 0)
+		s.traffic(6*limit/s.loadTime.Seconds(), time.Second, rare)
+	}
+	assert.Assert(t, grants >= 4, "%d of 5 requests for the adapter got a place", grants)
+}
