Answer requests of the own mode that still run when a host ends

What callers saw: a host of the own mode whose drain timeout was used up closed the connections of what still ran, with no answer, so that callers did not know whether an unrepeatable request may have run.

Change: such requests end with 502, outcome in-doubt, step stop; streams that have begun are cut.

--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -31,6 +31,12 @@
 	return relay.Chunk{ID: id, Refusal: &r}
 }
 
+// stoppedChunk returns the final answer to a request that still runs when the host ends; the request may have run.
+func stoppedChunk(id ident.RequestID) relay.Chunk {
+	r := work.Refusal{Outcome: work.InDoubt, Reason: work.LinkLost, Step: "stop", RetryAfter: world.DefaultRetryAfter}
+	return relay.Chunk{ID: id, Refusal: &r}
+}
+
 // writeAnswer writes chunks to the caller as they arrive, and records each of them for the service-level objectives.
 func (s *Server) writeAnswer(w http.ResponseWriter, r *http.Request, x *relay.Exchange, limit time.Duration, slo *sloRecorder) {
 	timer := time.NewTimer(limit)
@@ -42,6 +48,11 @@
 		case <-r.Context().Done():
 			slo.callerGone()
 			return
+		case <-s.ending:
+			c := stoppedChunk(x.ID)
+			slo.chunk(c)
+			writeRejection(w, *c.Refusal, started)
+			return
 		case <-timer.C:
 			inDoubt := inDoubtChunk(x.ID)
 			slo.chunk(inDoubt)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -51,13 +51,18 @@
 	settings conf.Settings
 	// queries counts address queries; the count rotates the order of equally good hosts, to spread callers over them.
 	queries atomic.Uint64
+	// ending is closed when the host ends the requests that still run.
+	ending chan struct{}
 }
 
 // New returns a server for the host h.
 func New(common logs.Common, h *host.Host) *Server {
-	return &Server{Common: common, host: h, settings: h.Settings}
+	return &Server{Common: common, host: h, settings: h.Settings, ending: make(chan struct{})}
 }
 
+// EndRequests ends all requests that still run with an answer that says so, as the host is about to end. It must be called once only.
+func (s *Server) EndRequests() { close(s.ending) }
+
 // Register adds the server's routes to mux.
 func (s *Server) Register(mux *http.ServeMux) {
 	mux.HandleFunc("GET /v1/entries", s.entries)
--- a/io/serve/drain.go
+++ b/io/serve/drain.go
@@ -11,6 +11,7 @@
 	"shallotgap/core/ident"
 	"shallotgap/core/state"
 	"shallotgap/core/world"
+	"shallotgap/io/entry"
 	"shallotgap/io/host"
 	"shallotgap/io/logs"
 )
@@ -21,6 +22,8 @@
 	pollInterval   = 50 * time.Millisecond
 	// closeTimeout is how long running requests may take after the drain has used up its own timeout.
 	closeTimeout = time.Second
+	// answerTimeout is how long the answers to requests that were ended may take.
+	answerTimeout = 300 * time.Millisecond
 )
 
 // restartPrefix is the prefix of the edit IDs of stops that a host plans for its own shutdown. It distinguishes these
@@ -33,6 +36,7 @@
 	logs.Common
 	host   *host.Host
 	server *http.Server
+	entry  *entry.Server
 }
 
 // run waits until the Stop channel of the host is closed, drains the host and returns when the process may exit.
@@ -62,7 +66,12 @@
 	}
 	err := d.server.Shutdown(drainCtx)
 	if err != nil {
-		_ = d.server.Close()
+		d.entry.EndRequests()
+		answering, cancel := context.WithTimeout(ctx, answerTimeout)
+		defer cancel()
+		if d.server.Shutdown(answering) != nil {
+			_ = d.server.Close()
+		}
 	}
 	d.Log.WithField("whole", strconv.FormatBool(err == nil)).Info("drained")
 }
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -31,7 +31,8 @@
 		return err
 	}
 	mux := http.NewServeMux()
-	entry.New(common, h).Register(mux)
+	callers := entry.New(common, h)
+	callers.Register(mux)
 	admin.New(common, h).Register(mux)
 	server := &http.Server{Handler: &entry.Gate{Next: mux, Tokens: c.Settings.Tokens}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
 	ctx, end := context.WithCancel(ctx)
@@ -44,7 +45,7 @@
 		}
 		return nil
 	})
-	d := &drainer{Common: common, host: h, server: server}
+	d := &drainer{Common: common, host: h, server: server, entry: callers}
 	group.Go(func() error {
 		d.run(ctx)
 		// The decision loop ends last, because HTTP handlers wait for its replies.
