Keep plain endpoints in use that answer though their heartbeats don't arrive

What callers saw: 64 s after the heartbeats of a plain endpoint stopped to arrive, while others did, its requests were rejected as no-endpoint, though each entry host reached it.

Change: a good answer of a plain endpoint counts as a sign of life at the entry host, which keeps endpoints that it heard of within a minute.

Result: PlainEndpointWithoutHeartbeatsServesOn failed before with 503 after 1m4s, passes over 4 min.

--- a/io/front/plain.go
+++ b/io/front/plain.go
@@ -188,9 +188,13 @@
 
 // endSend records the outcome of a send, and the load that the endpoint reported, for the choice of endpoints.
 func (ex *exchange) endSend(e census.Entry, o pick.Outcome, load *pick.Load) {
+	now := clock.Boot()
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
-	ex.picker.End(e, o, load, clock.Boot())
+	ex.picker.End(e, o, load, now)
+	if o == pick.Good {
+		ex.census.Confirm(e.Instance, now) // its heartbeats may not arrive
+	}
 }
 
 // plainSendFailed handles a send to a plain service that got no response.
