--- a/core/grant/queue.go
+++ b/core/grant/queue.go
@@ -28,8 +28,9 @@
 )
 
 // queue returns the waiting requests that are due, most urgent first. Requests with little time to spare, such as those with
-// long prompts, and requests that share a load rank higher, as do those for adapters that were rejected lately. The waiting time outweighs all else in the end, so that no request
-// starves while more adapters are requested than the store can load, such as after a start or the loss of many engines.
+// long prompts, and requests that share a load rank higher, as do those for adapters that were rejected lately. The waiting time
+// outweighs all else in the end, so that no request starves while more adapters are requested than the store can load, such as
+// after a start or the loss of many engines.
 func (t *Authority) queue(now ident.Time) []*waiter {
 	list := make([]*waiter, 0, len(t.waiting))
 	for _, w := range t.waiting {
--- a/io/reach/cut_test.go
+++ b/io/reach/cut_test.go
@@ -57,9 +57,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := newEndpoint(t, "e1", answer)
-			_, real := newClient(t, nil)
+			_, up := newClient(t, nil)
 			limit := int64(0)
-			proxy := cuttingProxy(t, string(real.Host), func() int64 { return limit })
+			proxy := cuttingProxy(t, string(up.Host), func() int64 { return limit })
 			wholes := 0
 			for limit = 0; wholes == 0; limit++ {
 				assert.Assert(t, limit < 4096, "no answer was whole")
