--- a/io/reach/cut_test.go
+++ b/io/reach/cut_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -58,11 +59,11 @@
 		t.Run(name, func(t *testing.T) {
 			e := newEndpoint(t, "e1", answer)
 			_, up := newClient(t, nil)
-			limit := int64(0)
-			proxy := cuttingProxy(t, string(up.Host), func() int64 { return limit })
+			var limit atomic.Int64 // the proxy reads it
+			proxy := cuttingProxy(t, string(up.Host), limit.Load)
 			wholes := 0
-			for limit = 0; wholes == 0; limit++ {
-				assert.Assert(t, limit < 4096, "no answer was whole")
+			for ; wholes == 0; limit.Add(1) {
+				assert.Assert(t, limit.Load() < 4096, "no answer was whole")
 				c, _ := newClient(t, refused) // a relay that failed is left out for a while
 				c.SetRelays([]reach.Relay{{Host: ident.HostID(proxy)}})
 				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
@@ -70,7 +71,7 @@
 				if err == nil {
 					body, readErr := io.ReadAll(resp)
 					if readErr == nil && resp.Complete() {
-						assert.Equal(t, string(body), "abcdef", "%d bytes of the reply", limit)
+						assert.Equal(t, string(body), "abcdef", "%d bytes of the reply", limit.Load())
 						wholes++
 					}
 					resp.Abort()
