--- a/core/grant/cutoff_test.go
+++ b/core/grant/cutoff_test.go
@@ -73,7 +73,7 @@
 	assert.Assert(t, s.served >= s.asked*97/100, "served %d of %d, rejections by cause %v", s.served, s.asked, s.causes)
 }
 
-// What one engine says of its own fence concerns that engine only.
+// If one engine refuses a fencing token, orders to the other engines go on.
 func TestOneRefusedFenceShutsNoOtherEngine(t *testing.T) {
 	for name, c := range map[string]struct {
 		refusals map[ident.EndpointID]int
