Review case 3: requests run at another service while no leader is known

Cause: the fallback without a leader finds the engine that last served an adapter by model and adapter, whatever the service.

Added: a script with two services that hold the same model, each with a route of its own; it kills all processes of the core at once and starts them 0.8 s later.

--- a/review/cases/caller.go
+++ b/review/cases/caller.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -23,8 +24,10 @@
 
 // callers send requests to the entry machines at a constant rate.
 type callers struct {
-	d    *deployment
-	host string
+	d      *deployment
+	host   string
+	prefix string // of the ids of requests
+	header func() http.Header
 
 	mu      sync.Mutex
 	count   int
@@ -35,7 +38,7 @@
 func (c *callers) send(method, path, body, entry string, deadline time.Duration) answer {
 	c.mu.Lock()
 	c.count++
-	a := answer{id: fmt.Sprintf("r%06d", c.count), path: path, entry: entry, sentAt: time.Now()}
+	a := answer{id: fmt.Sprintf("%s%06d", cmp.Or(c.prefix, "r"), c.count), path: path, entry: entry, sentAt: time.Now()}
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
@@ -44,6 +47,9 @@
 		panic(err)
 	}
 	req.Host = c.host
+	if c.header != nil {
+		req.Header = c.header()
+	}
 	req.Header.Set("Shallotgap-Request-Id", a.id)
 	req.Header.Set("Shallotgap-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	resp, err := callerClient.Do(req)
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -22,7 +22,10 @@
 )
 
 var cases = map[string]func(d *deployment, trouble bool) (verdict, error){
-	"lost-leave": lostLeave,
+	"lost-leave":  lostLeave,
+	"same-name":   sameName,
+	"same-model":  sameModel,
+	"over-weight": overWeight,
 }
 
 func main() { os.Exit(run()) }
--- a/review/cases/replica.go
+++ b/review/cases/replica.go
@@ -16,8 +16,8 @@
 
 // arrival is a request that reached a replica.
 type arrival struct {
-	id, from string
-	at       time.Time
+	id, from, host string
+	at             time.Time
 }
 
 // replica is a replica of a plain service. It follows the pages on replicas: it echoes the id of a request, signs its answers, and refuses a
@@ -31,7 +31,10 @@
 	work     func(path string) time.Duration
 	listener net.Listener
 	server   *http.Server
+	ctx      context.Context
 	stop     context.CancelFunc
+	slots    int
+	describe func() []any // the models of an engine; nil for a plain replica
 
 	mu       sync.Mutex
 	seq      int
@@ -40,17 +43,31 @@
 
 // newReplica starts a replica and its heartbeats.
 func newReplica(d *deployment, id, service, zone string, work func(path string) time.Duration) (*replica, error) {
+	r, err := listen(d, id, service, zone)
+	if err != nil {
+		return nil, err
+	}
+	r.work = work
+	r.serve(r)
+	return r, nil
+}
+
+// listen returns a replica that does not serve yet.
+func listen(d *deployment, id, service, zone string) (*replica, error) {
 	l, err := net.Listen("tcp", d.network+".200.1:0")
 	if err != nil {
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	r := &replica{d: d, id: id, service: service, zone: zone, born: time.Now().UnixMilli(), work: work, listener: l, stop: stop}
-	r.server = &http.Server{Handler: r}
-	go func() { _ = r.server.Serve(l) }()
-	go r.beat(ctx)
-	d.note("replica %s of %s at %s", id, service, l.Addr())
-	return r, nil
+	return &replica{d: d, id: id, service: service, zone: zone, born: time.Now().UnixMilli(), listener: l, ctx: ctx, stop: stop, slots: 6}, nil
+}
+
+// serve starts the replica and its heartbeats.
+func (r *replica) serve(handler http.Handler) {
+	r.server = &http.Server{Handler: handler}
+	go func() { _ = r.server.Serve(r.listener) }()
+	go r.beat(r.ctx)
+	r.d.note("replica %s of %s at %s", r.id, r.service, r.listener.Addr())
 }
 
 // ServeHTTP runs a request.
@@ -90,9 +107,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.seq++
-	data, _ := json.Marshal(map[string]any{
-		"service": r.service, "address": r.listener.Addr().String(), "zone": r.zone, "version": "v1", "slots": 6, "state": state, "coldLeftMs": 0, "seq": r.seq, "born": r.born,
-	})
+	said := map[string]any{
+		"service": r.service, "address": r.listener.Addr().String(), "zone": r.zone, "version": "v1", "slots": r.slots, "state": state, "coldLeftMs": 0, "seq": r.seq, "born": r.born,
+	}
+	if r.describe != nil {
+		said["stage"], said["models"] = "both", r.describe()
+	}
+	data, _ := json.Marshal(said)
 	return data
 }
 
