Review case 5: an engine that has left is used again after all processes were killed

Cause: no acknowledged deregistration is on a disk. After a restart the saved list of ready endpoints is taken back, and an engine that answers a report request counts as alive, though it had deregistered.

Added: a script that kills all processes right after the acknowledgement of an engine's DELETE, starts them 0.7 s later and counts the engine's requests once all machines are in touch.

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -26,6 +26,7 @@
 	"same-name":   sameName,
 	"same-model":  sameModel,
 	"over-weight": overWeight,
+	"revived":     revived,
 }
 
 func main() { os.Exit(run()) }
