--- a/review/cases/deployment.go
+++ b/review/cases/deployment.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"syscall"
 	"time"
@@ -192,6 +193,15 @@
 	}
 }
 
+// closeOnSignal ends all processes, and this one, once it gets a signal to stop.
+func (d *deployment) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	<-signals
+	d.close()
+	os.Exit(couldNotRun)
+}
+
 // close ends all processes and removes their files.
 func (d *deployment) close() {
 	for _, p := range d.all() {
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -21,6 +21,9 @@
 	broken
 )
 
+// couldNotRun is the exit status of a case that could not run.
+const couldNotRun = 2
+
 var cases = map[string]func(d *deployment, trouble bool) (verdict, error){
 	"lost-leave":  lostLeave,
 	"same-name":   sameName,
@@ -34,26 +37,27 @@
 func run() int {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: cases CASE PROGRAM RECORD")
-		return 2
+		return couldNotRun
 	}
 	rec, err := newRecord(os.Args[3])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return 2
+		return couldNotRun
 	}
 	defer rec.close()
 	d, err := newDeployment(rec, os.Args[2])
 	if d != nil {
 		defer d.close()
+		go d.closeOnSignal()
 	}
 	if err != nil {
 		rec.say("could not run: %v", err)
-		return 2
+		return couldNotRun
 	}
 	v, err := cases[os.Args[1]](d, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		rec.say("could not run: %v", err)
-		return 2
+		return couldNotRun
 	}
 	if v == broken {
 		rec.say("the rule was broken")
