--- a/review/cases/caller.go
+++ b/review/cases/caller.go
@@ -61,7 +61,7 @@
 		}
 	}
 	a.endedAt = time.Now()
-	c.d.note("%s %s %s through %s: status %d, %s", a.id, method, path, entry, a.status, strings.TrimSpace(a.body))
+	c.d.note("%s %s %s through %s: status %d, %.60q", a.id, method, path, entry, a.status, a.body)
 	c.mu.Lock()
 	c.answers = append(c.answers, a)
 	c.mu.Unlock()
--- a/review/cases/engine.go
+++ b/review/cases/engine.go
@@ -159,7 +159,7 @@
 	h.Set("Shallotgap-Server-Stamp", "stamp-"+e.id+"-"+id)
 	h.Set("Shallotgap-Weight-Versions", "1")
 	for n := range eventCount {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s of %s for %s\n\n", n+1, e.id, e.service, id)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s, %s, %s\n\n", n+1, e.service, e.id, id)
 		_ = http.NewResponseController(w).Flush()
 		select {
 		case <-time.After(eventPause):
