Look up the engine that last served an adapter by its service too

Cause: io/front kept the engine that last served an adapter by model and adapter only. The request names that engine as the expected instance, so the engine of the other service accepts it. The key holds the service now. What is remembered also outlasted the census by far; an engine that departs is dropped from it.

Ruled out: that a new leader's memory is mixed as well (Remember files by instance, and the choice of an engine compares services).

--- a/io/front/census.go
+++ b/io/front/census.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"maps"
 	"time"
 
 	"shallotgap/core/census"
@@ -22,6 +23,7 @@
 		}
 		if effect := f.census.Observe(e, now); effect == census.Changed || effect == census.Prevailed {
 			f.Log.WithField("step", "census").WithField("endpoint", e.Instance.ID).WithField("state", e.State).WithField("seq", e.Seq).WithField("outcome", "changed").Info("endpoint")
+			f.forgetDeparted(e)
 		}
 		for _, old := range f.census.Displaced() {
 			f.Log.WithField("step", "census").WithField("endpoint", old.Instance.ID).WithField("address", old.Address).WithField("inputs", "now used by "+string(e.Instance.ID)).WithField("outcome", "address-taken").Info("endpoint")
@@ -29,6 +31,14 @@
 	}
 }
 
+// forgetDeparted drops an engine that takes no more requests from the fallbacks, which outlast what the census remembers of it. f.mu must be held.
+func (f *Front) forgetDeparted(e census.Entry) {
+	if e.State == census.Ready {
+		return
+	}
+	maps.DeleteFunc(f.lastServed, func(_ servedKey, s servedPlace) bool { return s.place.Instance == e.Instance })
+}
+
 // compareEndpoints requests the leader's list of endpoints if its digest has differed from what this host knows for a while.
 func (f *Front) compareEndpoints(leader ident.HostID, d census.Digest) {
 	f.mu.Lock()
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -176,7 +176,7 @@
 	heed           *heed.Table // what endpoints say of themselves
 	permitTimes    map[ident.Service]permitTimes
 	grantRequests  map[grant.ID]*grantRequest
-	lastServed     map[book.AdapterRef]servedPlace // the last grant of each adapter
+	lastServed     map[servedKey]servedPlace       // the last grant of each adapter of a service
 	retryBudgets   map[ident.Service]*grant.Budget // retry budgets of plain services
 	sendCounts     map[ident.Service]*grant.Budget // first sends to engines and retries, reported to a new authority
 	streams        *resume.Table                   // builds that wrote to the streams of this host
@@ -190,7 +190,7 @@
 	f := &Front{
 		Common: common, Config: c, Meter: meter, layoutLoaded: make(chan struct{}), census: census.NewFollower(), poison: poison.NewTable(), written: poison.NewWritten(), evidence: poison.NewEvidence(), picker: pick.New(c.Domain),
 		limits: newHostLimits(), heed: heed.NewTable(), permitTimes: map[ident.Service]permitTimes{}, newestVersions: map[book.AdapterRef]book.WeightsVersion{}, controlStatus: map[ident.HostID]link.Status{}, operators: map[ident.HostID]string{}, grantRequests: map[grant.ID]*grantRequest{},
-		lastServed: map[book.AdapterRef]servedPlace{}, retryBudgets: map[ident.Service]*grant.Budget{}, sendCounts: map[ident.Service]*grant.Budget{}, streams: resume.NewTable(resume.LifeOf(nil), resume.Capacity), startedAt: clock.Boot(), entryHosts: 1,
+		lastServed: map[servedKey]servedPlace{}, retryBudgets: map[ident.Service]*grant.Budget{}, sendCounts: map[ident.Service]*grant.Budget{}, streams: resume.NewTable(resume.LifeOf(nil), resume.Capacity), startedAt: clock.Boot(), entryHosts: 1,
 	}
 	f.durations = grace.NewDurations()
 	f.ending, f.endRequests = context.WithCancelCause(context.Background())
--- a/io/front/grants.go
+++ b/io/front/grants.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"shallotgap/core/book"
 	"shallotgap/core/census"
 	"shallotgap/core/grant"
 	"shallotgap/core/ident"
@@ -66,15 +67,23 @@
 	servedAt ident.Time
 }
 
+// servedKey names what a fallback is looked up by. Services may hold the same models, and a request must not run at another one.
+type servedKey struct {
+	service ident.Service
+	ref     book.AdapterRef
+}
+
+func servedKeyOf(a grant.Ask) servedKey { return servedKey{service: a.Service, ref: a.Ref} }
+
 // expireLastServed drops grants that are too old for the fallback. Without an authority nothing is evicted, so none gets too old.
 // f.mu must be held.
 func (f *Front) expireLastServed(now ident.Time) {
 	if f.leader == "" {
 		return
 	}
-	for ref, s := range f.lastServed {
+	for key, s := range f.lastServed {
 		if now.Sub(s.servedAt) > fallbackMaxAge {
-			delete(f.lastServed, ref)
+			delete(f.lastServed, key)
 		}
 	}
 }
@@ -209,7 +218,7 @@
 		if len(req.msg.Permit) > 0 {
 			delete(f.grantRequests, r.ID)
 		} else {
-			f.lastServed[req.msg.Ref] = servedPlace{place: *r.Place, servedAt: clock.Boot()}
+			f.lastServed[servedKeyOf(req.msg)] = servedPlace{place: *r.Place, servedAt: clock.Boot()}
 		}
 	}
 	if waiting {
@@ -250,11 +259,11 @@
 	for s, b := range f.sendCounts {
 		active.SendCounts[s] = b.Sends(clock.Boot())
 	}
-	for ref, s := range f.lastServed {
+	for key, s := range f.lastServed {
 		if clock.Boot().Sub(s.servedAt) > fallbackMaxAge {
 			continue // served before a long time without an authority
 		}
-		active.LastServed = append(active.LastServed, grant.Residency{Ref: ref, Instance: s.place.Instance})
+		active.LastServed = append(active.LastServed, grant.Residency{Ref: key.ref, Instance: s.place.Instance})
 	}
 	active.Written = f.written.Latest(reportedWritten, clock.Boot())
 	active.Limits = f.limits.known(clock.Boot())
@@ -284,7 +293,7 @@
 		// learns from the leader's record that the other build began it.
 		return grant.Reply{}, false
 	}
-	s, found := f.lastServed[req.msg.Ref]
+	s, found := f.lastServed[servedKeyOf(req.msg)]
 	p := s.place
 	if !found {
 		return grant.Reply{}, false
@@ -327,8 +336,8 @@
 func (f *Front) forgetServed(req *grantRequest) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.lastServed[req.msg.Ref].place.Instance == req.place.Instance {
-		delete(f.lastServed, req.msg.Ref)
+	if f.lastServed[servedKeyOf(req.msg)].place.Instance == req.place.Instance {
+		delete(f.lastServed, servedKeyOf(req.msg))
 	}
 }
 
@@ -367,7 +376,7 @@
 	delete(f.grantRequests, req.msg.ID)
 	leader := f.leader
 	if end.Outcome == grant.Served {
-		f.lastServed[req.msg.Ref] = servedPlace{place: *req.place, servedAt: clock.Boot()}
+		f.lastServed[servedKeyOf(req.msg)] = servedPlace{place: *req.place, servedAt: clock.Boot()}
 	}
 	f.mu.Unlock()
 	if leader != "" {
--- a/io/front/grants_test.go
+++ b/io/front/grants_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"shallotgap/core/book"
 	"shallotgap/core/burn"
 	"shallotgap/core/census"
 	"shallotgap/core/grant"
@@ -134,3 +135,38 @@
 		})
 	}
 }
+
+// Without a leader, a request ran at an engine of another service that holds the same model, as the engine that last served an adapter was looked up
+// without the service.
+func TestFallbackStaysInTheService(t *testing.T) {
+	ref := book.AdapterRef{Model: "base", Adapter: "a1"}
+	cases := map[string]struct {
+		served ident.Service // of the request that was served before
+		left   bool          // the engine has left since, and the host has forgotten it
+		found  bool
+	}{
+		"the same service":                {served: "llm", found: true},
+		"another service":                 {served: "staff"},
+		"the same service, long departed": {served: "llm", left: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f, _ := newFront(t)
+			f.leader = "c1"
+			engine := ident.Instance{ID: "g1", Born: 7}
+			first := f.openGrantRequest(grant.Ask{Request: "r1", Service: c.served, Ref: ref, Left: 5 * time.Second})
+			f.handleGrantReply("c1", grant.Reply{ID: first.msg.ID, Place: &grant.Place{Instance: engine}})
+			f.release(first, grant.Served, time.Second, 0)
+			if c.left {
+				f.handleCensus([]census.Entry{{Instance: engine, Seq: 9, Service: c.served, Address: "x", State: census.Gone}})
+				f.census.Expire(clock.Boot().Add(time.Hour))
+			}
+			f.leader = ""
+			f.Follow("c1", clock.Boot())
+			f.Follow("", clock.Boot().Add(-time.Minute))
+			second := f.openGrantRequest(grant.Ask{Request: "r2", Service: "llm", Ref: ref, Left: 5 * time.Second})
+			_, found := f.fallbackGrant(second)
+			assert.Equal(t, found, c.found)
+		})
+	}
+}
--- a/io/front/resume_test.go
+++ b/io/front/resume_test.go
@@ -78,7 +78,7 @@
 		t.Run(name, func(t *testing.T) {
 			f, _ := newFront(t)
 			a := grant.Ask{Service: "llm", Left: 5 * time.Second, Resumable: true, Bound: c.bound, Build: c.build}
-			f.lastServed[a.Ref] = servedPlace{place: grant.Place{Instance: ident.Instance{ID: "g1", Born: 7}, Build: "v1"}, servedAt: clock.Boot()}
+			f.lastServed[servedKeyOf(a)] = servedPlace{place: grant.Place{Instance: ident.Instance{ID: "g1", Born: 7}, Build: "v1"}, servedAt: clock.Boot()}
 			f.Follow("c1", clock.Boot())
 			f.Follow("", clock.Boot().Add(-time.Minute))
 			req := f.openGrantRequest(a)
