Send the whole layout if two of its routes have the same name

Cause: a change of the layout names routes, and names need not be unique. A change from or to a layout with equal names now holds all routes. Weighed: to key changes by host and prefix (the build before would not understand them).

TestDiffOfEqualNames failed before in all four cases.

--- a/core/layout/change.go
+++ b/core/layout/change.go
@@ -17,10 +17,11 @@
 	Limits   Limits    `json:"limits"`
 }
 
-// Diff returns the change from old to next; old may be nil.
+// Diff returns the change from old to next; old may be nil. A change names routes, so it holds the whole layout if two routes of either one have the
+// same name.
 func Diff(old, next *Layout) Change {
 	c := Change{To: next.Version, Services: next.Services, Limits: next.Limits}
-	if old == nil {
+	if old == nil || !hasUniqueNames(old.Routes) || !hasUniqueNames(next.Routes) {
 		c.Routes = next.Routes
 		return c
 	}
@@ -67,6 +68,8 @@
 	return next, true
 }
 
+func hasUniqueNames(list []Route) bool { return len(byName(list)) == len(list) }
+
 // byName returns the routes of a list by their names.
 func byName(list []Route) map[string]Route {
 	m := make(map[string]Route, len(list))
--- a/core/layout/layout_test.go
+++ b/core/layout/layout_test.go
@@ -96,3 +96,24 @@
 		assert.Assert(t, !ok || old.Version == next.Version, "a change was applied to another version")
 	})
 }
+
+// A change of one of two routes with the same name took the other one away at entry hosts, as changes name routes.
+func TestDiffOfEqualNames(t *testing.T) {
+	bank, staff := route("r", "bank.example", "/", "x"), route("r", "staff.example", "/", "x")
+	slow, renamed := staff, staff
+	slow.Timeout, renamed.Name = time.Minute, "s"
+	cases := map[string]struct{ old, next []layout.Route }{
+		"one is modified": {old: []layout.Route{bank, staff}, next: []layout.Route{bank, slow}},
+		"one is removed":  {old: []layout.Route{bank, staff}, next: []layout.Route{bank}},
+		"one is added":    {old: []layout.Route{bank}, next: []layout.Route{bank, staff}},
+		"one is renamed":  {old: []layout.Route{bank, staff}, next: []layout.Route{bank, renamed}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			old, next := &layout.Layout{Version: 1, Routes: c.old}, &layout.Layout{Version: 2, Routes: c.next}
+			got, ok := layout.Diff(old, next).Apply(old)
+			assert.Assert(t, ok)
+			assert.DeepEqual(t, got.Routes, next.Routes)
+		})
+	}
+}
