Count the size of adapters against the memory of their engine

Cause: adapterMb was not read, so that slots alone bound the loads. It is read, and room is counted in memory and slots. A layout that an earlier build has stored lacks the sizes; they are read again from the operators' text.

--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -195,9 +195,6 @@
 	return ""
 }
 
-// freeSlots returns how many adapters can be loaded without an eviction.
-func (e *engine) freeSlots(limit int) int { return limit - len(e.slots) }
-
 // countLoads counts the running loads, and those among them that come from the store.
 func (e *engine) countLoads(now ident.Time) (all, fromStore int) {
 	for _, s := range e.slots {
--- a/core/grant/models.go
+++ b/core/grant/models.go
@@ -88,7 +88,7 @@
 
 // shareInUse returns the share in use of the scarcest resource of a service's engines: adapter slots, batch slots or memory.
 func (t *Authority) shareInUse(s layout.Service, now ident.Time) float64 {
-	engines, slots, running := 0, 0, 0
+	engines, slots, places, running := 0, 0, 0, 0
 	var tokens ident.Tokens
 	for _, e := range t.engines {
 		if e.entry.Service != s.Name || len(e.entry.Models) == 0 || !e.usable(now, t.Params) || e.failures.recentlyUnreachable("", now) {
@@ -96,6 +96,7 @@
 		}
 		engines++
 		running += len(e.running)
+		places += e.adapterPlaces(s.Engine)
 		tokens += e.reservedTokens
 		for _, slot := range e.slots {
 			if slot.pins > 0 || slot.probeID == "" && !slot.confirmed {
@@ -107,7 +108,7 @@
 		return 1
 	}
 	n := float64(engines)
-	return max(ratio(slots, n*float64(s.Engine.AdapterSlots)), ratio(running, n*float64(s.Engine.Slots)), ratio(int(tokens), n*float64(s.Engine.Memory)))
+	return max(ratio(slots, float64(places)), ratio(running, n*float64(s.Engine.Slots)), ratio(int(tokens), n*float64(s.Engine.Memory)))
 }
 
 func ratio(used int, all float64) float64 {
@@ -127,7 +128,7 @@
 	var best layout.Model
 	highest, found := 0.0, false
 	for _, m := range s.Engine.Models {
-		if s.Engine.RoomMB > 0 && m.WeightsMB > s.Engine.RoomMB {
+		if !s.Engine.CanHold(m.Name, false) {
 			continue
 		}
 		holders, requests := 0, 0
--- a/core/grant/orders.go
+++ b/core/grant/orders.go
@@ -145,6 +145,10 @@
 			continue
 		}
 		if ref, ok := t.findOutdated(e, now); ok {
+			if s, known := t.layout.Service(e.entry.Service); known && s.Engine != nil && !e.fitsReplacement(s.Engine, ref) {
+				t.sendOrder(e, Order{Ref: ref, Cause: "room for its newer version"}, now)
+				continue
+			}
 			v := t.newestVersions[ref]
 			s := e.slots[ref]
 			s.version, s.readyAt, s.loadTime, s.fromStore, s.loadStartedAt, s.rejections = v, now.Add(t.AdapterLoadTime), t.AdapterLoadTime, true, now, 0
--- a/core/grant/serve.go
+++ b/core/grant/serve.go
@@ -47,6 +47,10 @@
 		t.rejectWaiter(w, TooLarge, 0)
 		return
 	}
+	if !s.Engine.CanHold(w.ask.Ref.Model, w.ask.Ref.Adapter != "") {
+		t.rejectWaiter(w, TooLarge, 0)
+		return
+	}
 	if e := t.engines[w.orderedOn]; e != nil && e.orderPending && e.resends == 0 && now.Sub(w.since) < w.ask.Left/4 {
 		return
 	}
@@ -325,7 +329,7 @@
 		}
 	}
 	o.startDelay = loadDelay + o.orderDelay
-	if e.freeSlots(engine.AdapterSlots) > 0 {
+	if e.fitsAdapter(engine, a.Ref) {
 		return o, true
 	}
 	ref, weight, ok := t.evictionCandidate(e, a, now)
--- a/core/grant/sim_test.go
+++ b/core/grant/sim_test.go
@@ -58,6 +58,10 @@
 	noHeartbeats map[ident.EndpointID]bool
 	// refuseFences is the number of orders that each engine still refuses for their fencing token.
 	refuseFences map[ident.EndpointID]int
+	// adapterMB is the size of an adapter; overweight counts loads that an engine's memory does not hold.
+	adapterMB  float64
+	overweight int
+	newest     book.WeightsVersion // see renewAll
 	// unserved tells how often each adapter was asked for since it was last served.
 	unserved map[ident.Adapter]int
 }
@@ -86,6 +90,8 @@
 const (
 	simTick         = 5 * time.Millisecond
 	simAdapterSlots = 4
+	simModelMB      = 90.0
+	simRoomMB       = 100.0
 	simRemembered   = 20 // fewer than the authority assumes
 	service         = ident.Service("llm")
 )
@@ -98,8 +104,8 @@
 		loadTime: 250 * time.Millisecond, causes: map[grant.Cause]int{}, running: map[grant.ID]grant.RunningRequest{}, asks: map[grant.ID]grant.Ask{}, firstSent: map[grant.ID]ident.Time{},
 	}
 	s.layout = &layout.Layout{Version: 1, Services: []layout.Service{{Name: service, Engine: &layout.Engine{
-		Slots: 32, Memory: 100_000, AdapterSlots: simAdapterSlots, RoomMB: 100, LoadsPerSecond: 2,
-		Models: []layout.Model{{Name: "base", Adapters: 1000, WeightsMB: 90, LoadTime: 600 * time.Millisecond}},
+		Slots: 32, Memory: 100_000, AdapterSlots: simAdapterSlots, RoomMB: simRoomMB, LoadsPerSecond: 2,
+		Models: []layout.Model{{Name: "base", Adapters: 1000, WeightsMB: simModelMB, LoadTime: 600 * time.Millisecond}},
 	}}}}
 	p := grant.Defaults()
 	s.auth = grant.New(p, s.now)
@@ -353,6 +359,9 @@
 		e.modelReadyAt = s.now.Add(600 * time.Millisecond)
 		return grant.Accepted
 	}
+	if simModelMB+s.adapterMB*float64(len(e.adapters)+1) > simRoomMB { // an engine may keep the version that is replaced for a while
+		s.overweight++
+	}
 	old := e.adapters[o.Ref.Adapter]
 	if old == nil && len(e.adapters) >= simAdapterSlots {
 		s.overfilled++
@@ -424,5 +433,6 @@
 func (s *sim) check() {
 	s.t.Helper()
 	assert.Equal(s.t, s.overfilled, 0, "an engine was ordered to load more adapters than it has slots")
+	assert.Equal(s.t, s.overweight, 0, "an engine was ordered to load more than its memory holds")
 	assert.Equal(s.t, s.unloadsInUse, 0, "an engine was ordered to unload an adapter in use")
 }
--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -96,7 +96,9 @@
 	// Adapters is the number of the model's adapters.
 	Adapters int `json:"adapters,omitempty"`
 	// WeightsMB is the size of the weights in MB, LoadTime the duration of a load from the store.
-	WeightsMB float64       `json:"weights-mb,omitempty"`
+	WeightsMB float64 `json:"weights-mb,omitempty"`
+	// AdapterMB is the size of the weights of one adapter in MB; layouts of earlier versions don't have it.
+	AdapterMB float64       `json:"adapter-mb,omitempty"`
 	LoadTime  time.Duration `json:"load-time,omitempty"`
 }
 
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -33,6 +33,8 @@
 type Edge struct {
 	Dialect front.Dialect
 	Engines func(common logs.Common, holder string, paths *reach.Client) voter.Engines
+	// DecodeLayout decodes the operators' text of a configuration.
+	DecodeLayout func(source []byte) (*layout.Layout, error)
 	// OpenEndpoint opens connections to endpoints; nil for TCP.
 	OpenEndpoint dial.Opener
 	// Control handles the calls of operators and endpoints. leader returns the address to which a host sends operators with large
@@ -175,7 +177,7 @@
 	grantParams.HeartbeatLag = h.HeartbeatInterval + 800*time.Millisecond       // one heartbeat interval and the age of its adapter list
 	v, err := voter.New(h.Common, h.meter, voter.Config{
 		Self: ident.HostID(h.Links), Domain: h.Domain, Operators: string(h.Control), Seeds: h.Seeds, Bootstrap: h.Bootstrap, TargetVoters: h.Voters, Folder: h.Folder,
-		OrderPause: h.OrderPause, GrantParams: grantParams, Listener: links, Engines: h.edge.Engines(h.Common, h.Name, h.paths), Paths: h.paths, RandomSeed: uint64(time.Now().UnixNano()),
+		OrderPause: h.OrderPause, GrantParams: grantParams, Listener: links, Engines: h.edge.Engines(h.Common, h.Name, h.paths), DecodeLayout: h.edge.DecodeLayout, Paths: h.paths, RandomSeed: uint64(time.Now().UnixNano()),
 	})
 	if err != nil {
 		return err
--- a/io/voter/log.go
+++ b/io/voter/log.go
@@ -51,6 +51,7 @@
 		v.Log.WithField("step", "restore").WithField("index", s.Index).WithError(err).Error("bad-snapshot")
 		return
 	}
+	v.completeLayout(state.Layout)
 	former := v.book.Layout
 	v.book, v.applied, v.nextStatus = state, s.Index, 0
 	v.streams.Life = state.Builds.Life()
@@ -59,6 +60,20 @@
 	}
 }
 
+// completeLayout reads the services of a layout from the operators' text again if a host of an earlier version has stored the layout without the
+// sizes of adapters. The layout must not be in use yet.
+func (v *Voter) completeLayout(l *layout.Layout) {
+	if l == nil || v.DecodeLayout == nil || len(l.Source) == 0 || !l.LacksSizes() {
+		return
+	}
+	full, err := v.DecodeLayout(l.Source)
+	if err != nil {
+		v.Log.WithField("step", "restore").WithField("version", l.Version).WithError(err).Warn("sizes-not-read")
+		return
+	}
+	l.Services = full.Services
+}
+
 // apply applies a committed entry to the replicated state.
 func (v *Voter) apply(e quorum.Entry) {
 	v.applied = e.Index
@@ -72,6 +87,7 @@
 		v.Log.WithField("step", "apply").WithField("index", e.Index).WithError(err).Error("bad-entry")
 		return
 	}
+	v.completeLayout(c.Layout)
 	former := v.book.Layout
 	if v.book.Apply(c) {
 		v.publishCommand(c, former, e.Index)
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -60,6 +60,8 @@
 	// Network opens the host's links; nil for a link.Mesh.
 	Network link.Opener
 	Engines Engines
+	// DecodeLayout decodes the operators' text of a layout; nil if nothing can be read from it again.
+	DecodeLayout func(source []byte) (*layout.Layout, error)
 	// Paths sends to engines; nil if Engines needs no paths.
 	Paths      *reach.Client
 	RandomSeed uint64
@@ -155,6 +157,7 @@
 		leaderCalls: leaderCalls{proposed: map[ident.Index][]proposal{}},
 		applied:     stored.Snapshot.Index, startedAt: clock.Boot(),
 	}
+	v.completeLayout(v.book.Layout)
 	v.streams = resume.NewTable(state.Builds.Life(), resume.Capacity)
 	v.Forwarder = calls.New(calls.Config{Send: v.sendCall})
 	v.census.AwaitServices = true
