Acknowledge a departure once a majority has it on disk

Cause: the acknowledgement went out when one host had the change in memory, and no disk ever had it. A heartbeat that changes to draining and a deregistration are entries of the log now; a new leader sends departures to all hosts, and what is heard or restored is held against them.

Ruled out: to forget restored endpoints that send no heartbeat (all engines are out of use for a second after each restart). Weighed: a file of each host's own.

--- a/core/book/book.go
+++ b/core/book/book.go
@@ -2,6 +2,7 @@
 package book
 
 import (
+	"shallotgap/core/census"
 	"shallotgap/core/ident"
 	"shallotgap/core/layout"
 	"shallotgap/core/limit"
@@ -29,6 +30,8 @@
 	Limits *limit.Command `json:"limits,omitempty"`
 	// Builds changes the builds of a service that may have written to streams.
 	Builds *resume.Command `json:"builds,omitempty"`
+	// Departed records that an endpoint drains or has left. Hosts of earlier versions ignore it.
+	Departed *census.Departure `json:"departed,omitempty"`
 }
 
 // Newest announces a new version of the weights of a base model or an adapter.
@@ -51,11 +54,13 @@
 	Limits *limit.Table
 	// Builds holds the builds of each service that may have written to streams lately.
 	Builds *resume.Builds
+	// Departures are the endpoints that drain or have left.
+	Departures *census.Departures
 }
 
 // New returns the empty state.
 func New() *Book {
-	return &Book{Newest: map[AdapterRef]WeightsVersion{}, Poison: poison.NewTable(), Limits: limit.NewTable(), Builds: resume.NewBuilds()}
+	return &Book{Newest: map[AdapterRef]WeightsVersion{}, Poison: poison.NewTable(), Limits: limit.NewTable(), Builds: resume.NewBuilds(), Departures: census.NewDepartures(nil)}
 }
 
 // Apply carries out a command and reports whether it changed the state.
@@ -81,6 +86,8 @@
 		return b.Limits.Apply(*c.Limits)
 	case c.Builds != nil:
 		return b.Builds.Apply(*c.Builds)
+	case c.Departed != nil:
+		return b.Departures.Apply(*c.Departed)
 	}
 	return false
 }
@@ -104,11 +111,13 @@
 	Builds  resume.Snapshot `json:"builds,omitempty"`
 	// Routes are the services to which routes have led lately.
 	Routes resume.RoutesSnapshot `json:"routes,omitzero"`
+	// Departures are missing in the snapshots of earlier versions, which ignore them.
+	Departures []census.Departure `json:"departures,omitempty"`
 }
 
 // Snapshot returns the encoded state.
 func (b *Book) Snapshot() ([]byte, error) {
-	return wire.Marshal(snapshot{Layout: b.Layout, Newest: b.List(), Changes: b.Changes, Poison: b.Poison.Snapshot(), Limits: b.Limits.Snapshot(), Builds: b.Builds.Snapshot(), Routes: b.Builds.Routes()})
+	return wire.Marshal(snapshot{Layout: b.Layout, Newest: b.List(), Changes: b.Changes, Poison: b.Poison.Snapshot(), Limits: b.Limits.Snapshot(), Builds: b.Builds.Snapshot(), Routes: b.Builds.Routes(), Departures: b.Departures.List()})
 }
 
 // Restore returns the state that a snapshot was taken from; empty data gives the empty state.
@@ -123,6 +132,7 @@
 	}
 	b.Layout, b.Changes, b.Poison, b.Limits = snap.Layout, snap.Changes, poison.Restore(snap.Poison), limit.Restore(snap.Limits)
 	b.Builds = resume.Restore(snap.Builds)
+	b.Departures = census.NewDepartures(snap.Departures)
 	b.Builds.RestoreRoutes(snap.Routes, snap.Layout)
 	for _, n := range snap.Newest {
 		b.Newest[n.Of] = n.Version
--- a/core/census/census.go
+++ b/core/census/census.go
@@ -60,6 +60,9 @@
 	byAddress map[string][]ident.EndpointID
 	// configured reports whether a service is configured; it is nil until SetServices is called.
 	configured func(ident.Service) bool
+	// Departed returns the state that an endpoint has departed into as all control hosts know, or 0; it is nil where nothing is replicated.
+	// Without it, a late heartbeat or a list kept on disk would make an endpoint ready again after a restart.
+	Departed func(ident.Instance) State
 	// AwaitServices delays address takeovers until SetServices is called. It is set where anyone may announce endpoints.
 	AwaitServices bool
 	// Retention is how long an endpoint is kept after its latest heartbeat, while other heartbeats arrive, or after it has left.
@@ -149,10 +152,12 @@
 	}
 }
 
-// Observe records a heartbeat of an endpoint.
+// Observe records a heartbeat of an endpoint. The entry that Get returns then may differ from the heartbeat: an endpoint that has departed stays
+// so, and its build stays the one that it named first.
 func (c *Census) Observe(e Entry, now ident.Time) Effect {
 	e.LastHeartbeat = now
 	c.hear(now)
+	e.State = max(e.State, c.departedState(e.Instance))
 	old, known := c.entries[e.Instance.ID]
 	if c.isForeign(e) {
 		return UnknownService
--- a/io/voter/calls.go
+++ b/io/voter/calls.go
@@ -1,6 +1,7 @@
 package voter
 
 import (
+	"shallotgap/core/book"
 	"shallotgap/core/census"
 	"shallotgap/core/ident"
 	"shallotgap/core/quorum"
@@ -44,7 +45,13 @@
 	if leader != v.Self {
 		return v.mesh.Send(leader, m)
 	}
-	go v.post(func() { v.serveCall(v.Self, *m.Call) }) // the loop itself may be the caller, so this must not block
+	go v.post(func() { // the loop itself may be the caller, so this must not block
+		if m.EndpointCall != nil {
+			v.serveEndpointCall(v.Self, *m.EndpointCall)
+			return
+		}
+		v.serveCall(v.Self, *m.Call)
+	})
 	return true
 }
 
@@ -103,6 +110,10 @@
 	case c.Left != nil:
 		v.deregister(*c.Left)
 	}
+	if d, open := v.openDeparture(c); open {
+		v.replicateDeparture(from, c.ID, d)
+		return
+	}
 	a := link.Answer{ID: c.ID, Done: !v.WithoutLeader(clock.Boot())}
 	if !a.Done {
 		a.Cause = errNoLeader.Error()
@@ -115,10 +126,8 @@
 func (v *Voter) serveCall(from ident.HostID, c link.Call) {
 	reply := func(a link.Answer) { v.reply(from, a) }
 	if !v.node.LeadershipConfirmed() {
-		if v.node.Role() == quorum.Leader && len(v.leaderCalls.deferred) < maxDeferred {
-			v.leaderCalls.deferred = append(v.leaderCalls.deferred, func() { v.serveCall(from, c) })
-		}
-		return // the sender forwards the call to the next leader or times out
+		v.deferCall(func() { v.serveCall(from, c) })
+		return
 	}
 	switch {
 	case c.Stream != nil:
@@ -130,23 +139,32 @@
 	case c.Command.Layout != nil && v.book.Layout != nil && c.Command.Layout.Version <= v.book.Layout.Version:
 		reply(link.Answer{ID: c.ID, Done: true})
 	default:
-		v.propose(c, reply)
+		v.propose(c.ID, c.Command, reply)
+	}
+}
+
+// deferCall executes a call once this host's leadership is confirmed. A host that is not the leader drops the call: the sender forwards it to
+// the next leader or times out.
+func (v *Voter) deferCall(f func()) {
+	if v.node.Role() == quorum.Leader && len(v.leaderCalls.deferred) < maxDeferred {
+		v.leaderCalls.deferred = append(v.leaderCalls.deferred, f)
 	}
 }
 
-func (v *Voter) propose(c link.Call, reply func(link.Answer)) {
-	data, err := wire.Marshal(c.Command)
+// propose appends a command to the log and answers the call with the given id when the command is committed.
+func (v *Voter) propose(id uint64, c book.Command, reply func(link.Answer)) {
+	data, err := wire.Marshal(c)
 	if err != nil {
-		reply(link.Answer{ID: c.ID, Cause: err.Error()})
+		reply(link.Answer{ID: id, Cause: err.Error()})
 		return
 	}
 	i, err := v.node.Propose(data)
 	if err != nil {
-		reply(link.Answer{ID: c.ID, Cause: err.Error()})
+		reply(link.Answer{ID: id, Cause: err.Error()})
 		return
 	}
 	_, term := v.node.Leader()
-	v.leaderCalls.proposed[i] = append(v.leaderCalls.proposed[i], proposal{term: term, reply: reply, id: c.ID})
+	v.leaderCalls.proposed[i] = append(v.leaderCalls.proposed[i], proposal{term: term, reply: reply, id: id})
 }
 
 // dropProposals drops the proposals and deferred calls after a loss of leadership. Their senders forward them to the next
--- a/io/voter/lead.go
+++ b/io/voter/lead.go
@@ -74,6 +74,7 @@
 		v.leadership.authority.SetNewest(n)
 	}
 	v.Log.WithField("step", "lead").WithField("term", term).WithField("endpoints", len(v.census.List())).Info("leading")
+	v.sendDepartures()
 	v.sendStatus(now)
 }
 
--- a/io/voter/leaderless_test.go
+++ b/io/voter/leaderless_test.go
@@ -41,8 +41,11 @@
 			id := ident.Instance{ID: "g1", Born: 7}
 			err := v.Announce(t.Context(), census.Entry{Instance: id, Seq: 4, Service: "llm", Address: "x", State: census.Ready})
 			assert.Equal(t, err == nil, c.confirmed, "%v", err)
+			// No majority has a departure on disk while no leader replicates it, so it is recorded but never confirmed.
+			err = v.Announce(t.Context(), census.Entry{Instance: id, Seq: 5, Service: "llm", Address: "x", State: census.Draining})
+			assert.Assert(t, err != nil)
 			err = v.Leave(t.Context(), id)
-			assert.Equal(t, err == nil, c.confirmed, "%v", err)
+			assert.Assert(t, err != nil)
 			close(v.inbox)
 			<-ended
 			e, known := v.census.Get("g1")
--- a/io/voter/log.go
+++ b/io/voter/log.go
@@ -55,6 +55,7 @@
 	former := v.book.Layout
 	v.book, v.applied, v.nextStatus = state, s.Index, 0
 	v.streams.Life = state.Builds.Life()
+	v.publishDepartures(v.census.ApplyDepartures(clock.Boot()))
 	if former == nil && v.book.Layout != nil {
 		v.setCensusServices()
 	}
@@ -118,6 +119,10 @@
 		v.logLimits(*c.Limits)
 	case c.Builds != nil:
 		v.logBuilds(*c.Builds)
+	case c.Departed != nil:
+		if e, ok := v.census.Depart(c.Departed.Instance, clock.Boot()); ok {
+			v.publishDepartures([]census.Entry{e})
+		}
 	}
 	if v.leadership == nil {
 		return
--- a/io/voter/status.go
+++ b/io/voter/status.go
@@ -116,7 +116,15 @@
 // Announce handles a heartbeat of an endpoint. After an error, the heartbeat may not reach the leader, and the endpoint should
 // send it to another control host.
 func (v *Voter) Announce(ctx context.Context, e census.Entry) error {
-	return v.confirmWithLeader(ctx, func() { v.observeEndpoints([]census.Entry{e}, true) })
+	open := false
+	err := v.confirmWithLeader(ctx, func() {
+		v.observeEndpoints([]census.Entry{e}, true)
+		_, open = v.openDeparture(link.EndpointCall{Heartbeat: &e})
+	})
+	if err != nil || !open {
+		return err
+	}
+	return v.Forwarder.Announce(ctx, e)
 }
 
 // confirmWithLeader runs f in the loop. It returns an error if this host knows no leader to which the change could be sent.
@@ -140,7 +148,15 @@
 
 // Leave deregisters an endpoint. An error means that the leader may not learn of it, as for Announce.
 func (v *Voter) Leave(ctx context.Context, i ident.Instance) error {
-	return v.confirmWithLeader(ctx, func() { v.deregister(i) })
+	open := false
+	err := v.confirmWithLeader(ctx, func() {
+		v.deregister(i)
+		_, open = v.openDeparture(link.EndpointCall{Left: &i})
+	})
+	if err != nil || !open {
+		return err
+	}
+	return v.Forwarder.Leave(ctx, i)
 }
 
 func (v *Voter) deregister(i ident.Instance) {
@@ -166,6 +182,9 @@
 		e.LastHeartbeat = now
 		former, _ := v.census.Get(e.Instance.ID)
 		result := v.census.Observe(e, now)
+		if stored, known := v.census.Get(e.Instance.ID); known && stored.Instance == e.Instance {
+			e.State, e.Build = stored.State, stored.Build
+		}
 		if result == census.Unchanged && v.onlyRestored(former) {
 			result = census.Changed // other hosts do not know an endpoint that was only restored from disk yet
 		}
