Ignore heartbeats that an endpoint sent after its departure

Ruled out by notes of each observation: a departure that was not committed, and a late list of another host.

--- a/core/census/census.go
+++ b/core/census/census.go
@@ -157,6 +157,7 @@
 func (c *Census) Observe(e Entry, now ident.Time) Effect {
 	e.LastHeartbeat = now
 	c.hear(now)
+	reported := e.State
 	e.State = max(e.State, c.departedState(e.Instance))
 	old, known := c.entries[e.Instance.ID]
 	if c.isForeign(e) {
@@ -174,7 +175,7 @@
 		return Prevailed
 	}
 	e.Prevails = false
-	if known && old.Instance == e.Instance && old.State > e.State {
+	if known && old.Instance == e.Instance && old.State > reported {
 		// An endpoint that drains or has left does not become ready again in the same incarnation.
 		return Stale
 	}
--- a/core/census/departure_test.go
+++ b/core/census/departure_test.go
@@ -76,3 +76,34 @@
 		})
 	}
 }
+
+// A heartbeat that an endpoint sent after its departure was reported as a change, and the leader listed the endpoint as ready again.
+func TestHeartbeatAfterDepartureIsStale(t *testing.T) {
+	cases := map[string]struct {
+		departed census.State
+		reported census.State
+		want     census.Effect
+	}{
+		"ready, has left":      {census.Gone, census.Ready, census.Stale},
+		"ready, drains":        {census.Draining, census.Ready, census.Stale},
+		"draining, has left":   {census.Gone, census.Draining, census.Stale},
+		"draining, drains":     {census.Draining, census.Draining, census.Unchanged},
+		"ready, never left":    {0, census.Ready, census.Unchanged},
+		"draining, never left": {0, census.Draining, census.Changed},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			left := census.NewDepartures(nil)
+			table := census.New(time.Minute)
+			table.Departed = left.State
+			e := census.Entry{Instance: ident.Instance{ID: "p1", Born: 7}, Seq: 1, Service: "pay", Address: "x", State: census.Ready}
+			table.Observe(e, 1)
+			left.Apply(census.Departure{Instance: e.Instance, State: c.departed})
+			table.ApplyDepartures(2)
+			e.Seq, e.State = 2, c.reported
+			assert.Equal(t, table.Observe(e, 3), c.want)
+			stored, _ := table.Get("p1")
+			assert.Equal(t, stored.State, max(c.departed, c.reported))
+		})
+	}
+}
