Take only requests at a stopping host whose own time ends before it

Cause: core/grace guessed from how long a route's requests had taken lately whether a stream would be over in time. A guess decided a promise. Now the request's own deadline decides; what can't fit is refused as not run at once. What a caller has begun to receive goes on.

Ruled out: the relay (all measured cuts were taken by the host that stopped).

--- a/io/front/drain.go
+++ b/io/front/drain.go
@@ -15,7 +15,7 @@
 // stoppingCause is the cause of their answers.
 const stoppingCause = "stopping"
 
-// Drain announces to the control hosts that this host is not ready for callers, and takes only requests that should be over when it ends
+// Drain announces to the control hosts that this host is not ready for callers, and takes only requests that are over when it ends
 // all, from now on. What still runs then is ended with an answer that says whether it may have run.
 func (f *Front) Drain(s grace.Stop) {
 	f.stop.Store(&s)
@@ -30,27 +30,10 @@
 // drainRetryAfter is the Retry-After of requests that a draining host rejects. It is short because another host can serve them.
 const drainRetryAfter = 10 * time.Millisecond
 
-// outlastsHost reports whether the request is expected to run beyond the end of this host.
+// outlastsHost reports whether the request may run beyond the end of this host. What its caller has begun to receive goes on: it may still be
+// complete by then, and a refusal would cut it now.
 func (ex *exchange) outlastsHost() bool {
-	s := ex.stop.Load()
-	if s == nil {
-		return false
-	}
-	now := clock.Boot()
-	ex.mu.Lock()
-	defer ex.mu.Unlock()
-	return !s.Admits(now, ex.durations.Expect(ex.kind(), ex.timeLeft(), now))
-}
-
-// kind names the requests that should take about as long as this one.
-func (ex *exchange) kind() grace.Route { return grace.Route(ex.route.Host + ex.route.Prefix) }
-
-// noteDuration records how long the request took, once it has got an answer of an endpoint.
-func (ex *exchange) noteDuration() {
-	now := clock.Boot()
-	ex.mu.Lock()
-	defer ex.mu.Unlock()
-	ex.durations.Note(ex.kind(), now.Sub(ex.receivedAt), now)
+	return !ex.committed && !ex.stop.Load().Admits(clock.Boot(), ex.timeLeft())
 }
 
 // withEnd returns the context of a request, which ends at its deadline or when this host ends its requests.
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -182,7 +182,6 @@
 	streams        *resume.Table                   // builds that wrote to the streams of this host
 	grantSeq       uint64                          // number of the latest grant request; part of its id, as is startedAt
 	startedAt      ident.Time
-	durations      *grace.Durations // how long requests took lately
 }
 
 // New returns an entry host; Run starts it.
@@ -192,7 +191,6 @@
 		limits: newHostLimits(), heed: heed.NewTable(), permitTimes: map[ident.Service]permitTimes{}, newestVersions: map[book.AdapterRef]book.WeightsVersion{}, controlStatus: map[ident.HostID]link.Status{}, operators: map[ident.HostID]string{}, grantRequests: map[grant.ID]*grantRequest{},
 		lastServed: map[servedKey]servedPlace{}, retryBudgets: map[ident.Service]*grant.Budget{}, sendCounts: map[ident.Service]*grant.Budget{}, streams: resume.NewTable(resume.LifeOf(nil), resume.Capacity), startedAt: clock.Boot(), entryHosts: 1,
 	}
-	f.durations = grace.NewDurations()
 	f.ending, f.endRequests = context.WithCancelCause(context.Background())
 	f.ownPaths = c.Paths == nil
 	if f.ownPaths {
--- a/io/front/plain.go
+++ b/io/front/plain.go
@@ -177,7 +177,6 @@
 		ex.endSend(e, pick.Good, v.Load)
 	}
 	ex.recordSound()
-	ex.noteDuration()
 	if ex.route.Kind == layout.Stream && resp.StatusCode/100 == http.StatusOK/100 {
 		ex.bindTo(e.Build, "", true)
 	}
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -172,7 +172,6 @@
 	case err == nil:
 		ex.recordWritten(ex.call.Parts)
 		ex.recordSound()
-		ex.noteDuration()
 		ex.release(req, grant.Served, first, events.maxGap)
 		ex.Meter.ObserveDuration("shallotgap_first_event_seconds", events.firstAt.Sub(ex.receivedAt))
 		ex.logDecision("end", p.Instance.ID, "served", fmt.Sprintf("first=%dms gap=%dms prompt=%d", events.firstAt.Sub(ex.receivedAt).Milliseconds(), events.maxGap.Milliseconds(), ex.call.Prompt))
