Answer what a stopping host has read before its connections close

Callers that sent their next request on a kept connection right after an answer found it closed, and calls of endpoints and operators that a call host had read ended without an answer (LOST).

Cause: an answer whose head went out before the stop can't announce the close of its connection, and the port closed with the connections. Only callers were waited for, not calls. A connection of callers stays open until a second after its last answer now, and calls are finished within a second.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -144,9 +144,6 @@
 	*calls.Forwarder
 	Meter *metric.Meter
 
-	// Server accepts callers' requests; it must be set before the host drains.
-	Server *http.Server
-
 	mesh         link.Network
 	ownPaths     bool // Run keeps Paths running
 	router       atomic.Pointer[layout.Router]
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -109,6 +108,8 @@
 	front *front.Front
 	paths *reach.Client
 	group *errgroup.Group
+	// callers serves callers, calls operators and endpoints, and directory callers that ask for addresses; each is nil if the host does not.
+	callers, calls, directory *server
 }
 
 // Run serves until the host has drained after a stop signal, or until one of its components fails.
@@ -194,7 +195,7 @@
 	if h.MaxAddressLife > 0 {
 		ttl = min(ttl, h.MaxAddressLife)
 	}
-	_, err = h.serve(ctx, h.Directory, h.edge.Directory(h.Common, v, ttl))
+	h.directory, err = h.serve(ctx, h.Directory, h.edge.Directory(h.Common, v, ttl))
 	return err
 }
 
@@ -212,7 +213,8 @@
 	if h.Control == "" {
 		return nil
 	}
-	_, err := h.serveWith(ctx, h.Control, h.measuredServer(h.withLimitCalls(c, h.withPoisonCalls(c, h.edge.Control(h.Common, c, leader)))))
+	var err error
+	h.calls, err = h.serveWith(ctx, h.Control, h.measuredServer(h.withLimitCalls(c, h.withPoisonCalls(c, h.edge.Control(h.Common, c, leader)))))
 	return err
 }
 
@@ -245,8 +247,8 @@
 	if h.Callers == "" {
 		return nil
 	}
-	server, err := h.serveWith(ctx, h.Callers, &http.Server{Handler: f, ConnState: f.ConnState()})
-	f.Server = server
+	var err error
+	h.callers, err = h.serveWith(ctx, h.Callers, &http.Server{Handler: f, ConnState: f.ConnState()})
 	return err
 }
 
@@ -260,25 +262,3 @@
 
 // callHostSuffix tells the ID of a call host from that of an entry host.
 const callHostSuffix = "/calls"
-
-// serve answers HTTP requests on an address until the context ends.
-func (h *host) serve(ctx context.Context, l Listen, handler http.Handler) (*http.Server, error) {
-	return h.serveWith(ctx, l, &http.Server{Handler: handler})
-}
-
-// serveWith is like serve, but takes a server with further settings.
-func (h *host) serveWith(ctx context.Context, l Listen, server *http.Server) (*http.Server, error) {
-	listener, err := net.Listen("tcp", string(l))
-	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
-	}
-	server.ReadHeaderTimeout, server.IdleTimeout, server.ErrorLog = headerTimeout, idleTimeout, discardLog
-	h.group.Go(func() error {
-		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) && ctx.Err() == nil {
-			return fmt.Errorf("serve %s: %w", l, err)
-		}
-		return nil
-	})
-	context.AfterFunc(ctx, func() { _ = server.Close() })
-	return server, nil
-}
--- a/io/site/stop.go
+++ b/io/site/stop.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log"
 	"os"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"shallotgap/core/grace"
 	"shallotgap/io/clock"
 )
@@ -20,6 +23,10 @@
 	// process ends, so that their answers still arrive.
 	drainMargin = 400 * time.Millisecond
 	exitMargin  = 150 * time.Millisecond
+	// callerLinger is how long a kept connection of a caller stays open after its last answer: callers that use it again mostly do so at once.
+	callerLinger = time.Second
+	// callFinishTime is how long the calls of operators and endpoints that a stopping host has read may take: longer than calls.Timeout.
+	callFinishTime = time.Second
 	// leaderHandoverTime is how long a stopping control host continues to serve while the others elect a leader.
 	leaderHandoverTime = 1200 * time.Millisecond
 )
@@ -38,15 +45,41 @@
 		h.voter.Stop()
 		sleep(ctx, min(leaderHandoverTime, h.Grace/4))
 	}
-	if h.front == nil || h.Callers == "" {
-		return
+	group := errgroup.Group{}
+	group.Go(func() error { return h.finishCalls(ctx, start) })
+	if h.callers != nil {
+		group.Go(func() error { return h.finishRequests(ctx, start) })
+	}
+	err := group.Wait()
+	h.Log.WithField("whole", err == nil).WithField("took", time.Since(start).String()).Info("drained")
+}
+
+// errUnanswered is a stop that ended before all that the host had read was answered.
+var errUnanswered = errors.New("requests were left without an answer")
+
+// finishCalls answers the calls of operators and endpoints that the host has read, and takes no further ones.
+func (h *host) finishCalls(ctx context.Context, start time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, min(callFinishTime, h.Grace-exitMargin-time.Since(start)))
+	defer cancel()
+	whole := h.calls.finish(ctx, ctx, 0)
+	if !h.directory.finish(ctx, ctx, 0) || !whole {
+		return errUnanswered
 	}
+	return nil
+}
+
+// finishRequests answers the requests of callers, and those that it sends for other hosts, until the end of the grace period.
+func (h *host) finishRequests(ctx context.Context, start time.Time) error {
 	sleep(ctx, min(callerDrainTime, h.Grace/2)-time.Since(start))
 	ctx, cancel := context.WithTimeout(ctx, h.Grace-exitMargin-time.Since(start))
 	defer cancel()
-	err := h.front.Server.Shutdown(ctx)
-	relayed := h.paths.AwaitRelayed(ctx)
-	h.Log.WithField("whole", err == nil && relayed).WithField("took", time.Since(start).String()).Info("drained")
+	quiet, end := context.WithTimeout(ctx, h.Grace-drainMargin-time.Since(start))
+	defer end()
+	whole := h.callers.finish(ctx, quiet, callerLinger)
+	if !h.paths.AwaitRelayed(ctx) || !whole {
+		return errUnanswered
+	}
+	return nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
