--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -14,6 +14,9 @@
 // DomainID names a failure domain.
 type DomainID string
 
+// RegionID names a group of failure domains that may be lost as a whole.
+type RegionID string
+
 // EndpointID names an endpoint (an engine replica or a plain service replica).
 type EndpointID string
 
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -36,8 +36,10 @@
 	TargetVoters int
 	// RepairAfter is how long a voter may be silent before a learner replaces it; 0 means that it is never replaced.
 	RepairAfter time.Duration
-	// Domains maps hosts to failure domains; the leader spreads the voters over the domains.
+	// Domains maps hosts to failure domains, Regions these to the regions that may be lost as a whole; the leader spreads the voters over both.
+	// Domains that are not named are of one region.
 	Domains           map[ident.HostID]ident.DomainID
+	Regions           map[ident.DomainID]ident.RegionID
 	HeartbeatInterval time.Duration
 	// ElectionTimeout is the shortest election timeout. Each timeout is drawn at random between this value and twice
 	// this value, and from a longer range after failed campaigns.
--- a/core/quorum/repair.go
+++ b/core/quorum/repair.go
@@ -16,7 +16,8 @@
 }
 
 // adjustVoters proposes at most one membership change towards the wanted number of reachable voters. In order of priority it
-// removes a voter whose host has a new disk, removes a surplus voter, or promotes a learner when a voter is missing or lost.
+// removes a voter whose host has a new disk, removes a surplus voter, promotes a learner when a voter is missing or lost, or promotes one to
+// spread the voters better.
 // The learner is promoted before the lost voter is removed, so that a lost voter that returns in between can still vote.
 func (n *Node) adjustVoters() {
 	voters := n.members.Voters()
@@ -27,6 +28,8 @@
 		n.removeSurplus()
 	case voters < n.wantedVoters() || n.hasLostVoter():
 		n.promote()
+	default:
+		n.spread()
 	}
 }
 
@@ -70,11 +73,12 @@
 
 func (n *Node) hasLostVoter() bool { return slices.ContainsFunc(n.members, n.isLost) }
 
-// promote proposes to make a ready learner a voter: the learner whose failure domain has the fewest voters that are not lost.
+// promote proposes to make a ready learner a voter: the learner whose region, and then whose failure domain, has the fewest voters
+// that are not lost.
 func (n *Node) promote() {
 	best := -1
 	for i, m := range n.members {
-		if n.isReadyLearner(m) && (best < 0 || n.votersInDomain(m) < n.votersInDomain(n.members[best])) {
+		if n.isReadyLearner(m) && (best < 0 || compareCrowds(n.crowdOf(m), n.crowdOf(n.members[best])) < 0) {
 			best = i
 		}
 	}
@@ -86,18 +90,8 @@
 	_, _ = n.Change(next)
 }
 
-// votersInDomain counts the voters in the failure domain of m that are not lost.
-func (n *Node) votersInDomain(m Member) int {
-	count := 0
-	for _, v := range n.members {
-		if v.Voter && !n.isLost(v) && n.Domains[v.Host] == n.Domains[m.Host] {
-			count++
-		}
-	}
-	return count
-}
-
-// removeSurplus removes a lost voter, or else a voter other than this node in the failure domain with the most voters.
+// removeSurplus removes a lost voter, or else a voter other than this node in the region, and then in the failure domain, with the most
+// voters.
 func (n *Node) removeSurplus() {
 	if i := slices.IndexFunc(n.members, n.isLost); i >= 0 {
 		n.remove(n.members[i])
@@ -105,7 +99,7 @@
 	}
 	surplus := Member{}
 	for _, m := range n.members {
-		if m.Voter && m != n.self() && (surplus.Host == "" || n.votersInDomain(m) >= n.votersInDomain(surplus)) {
+		if m.Voter && m != n.self() && (surplus.Host == "" || compareCrowds(n.crowdOf(m), n.crowdOf(surplus)) >= 0) {
 			surplus = m
 		}
 	}
--- a/io/site/config.go
+++ b/io/site/config.go
@@ -20,6 +20,8 @@
 	File   string
 	Name   string
 	Domain ident.DomainID
+	// Regions are the regions of the deployment's failure domains.
+	Regions map[ident.DomainID]ident.RegionID
 	// Seeds are the link addresses of the hosts to which the host connects first.
 	Seeds []ident.HostID
 	// Bootstrap is true at the first start of the whole deployment, when all disks are empty.
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -177,7 +177,7 @@
 	grantParams.HeartbeatTimeout = 3*h.HeartbeatInterval + 900*time.Millisecond // three heartbeat intervals and a delay
 	grantParams.HeartbeatLag = h.HeartbeatInterval + 800*time.Millisecond       // one heartbeat interval and the age of its adapter list
 	v, err := voter.New(h.Common, h.meter, voter.Config{
-		Self: ident.HostID(h.Links), Domain: h.Domain, Operators: string(h.Control), Seeds: h.Seeds, Bootstrap: h.Bootstrap, TargetVoters: h.Voters, Folder: h.Folder,
+		Self: ident.HostID(h.Links), Domain: h.Domain, Regions: h.Regions, Operators: string(h.Control), Seeds: h.Seeds, Bootstrap: h.Bootstrap, TargetVoters: h.Voters, Folder: h.Folder,
 		OrderPause: h.OrderPause, GrantParams: grantParams, Listener: links, Engines: h.edge.Engines(h.Common, h.Name, h.paths), DecodeLayout: h.edge.DecodeLayout, Paths: h.paths, RandomSeed: uint64(time.Now().UnixNano()),
 	})
 	if err != nil {
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -42,6 +42,8 @@
 	// Self is the host's link address, which is also its ID.
 	Self   ident.HostID
 	Domain ident.DomainID
+	// Regions are the regions of the failure domains, over which the voters are spread.
+	Regions map[ident.DomainID]ident.RegionID
 	// Operators is the address at which the host takes the calls of operators; empty if it takes none.
 	Operators string
 	// Seeds are the hosts to which the host connects first.
@@ -182,7 +184,7 @@
 func (v *Voter) newNode(stored world.Stored) *quorum.Node {
 	s := quorum.Settings{
 		Self: v.Self, Disk: stored.Disk, Contacts: slices.Clone(v.Seeds), TargetVoters: v.TargetVoters, RepairAfter: repairAfter,
-		Domains: map[ident.HostID]ident.DomainID{v.Self: v.Domain}, HeartbeatInterval: quorumHeartbeat, ElectionTimeout: electionTimeout, MaxBatch: maxAppendEntries,
+		Domains: map[ident.HostID]ident.DomainID{v.Self: v.Domain}, Regions: v.Regions, HeartbeatInterval: quorumHeartbeat, ElectionTimeout: electionTimeout, MaxBatch: maxAppendEntries,
 		Rand: rand.New(rand.NewPCG(v.RandomSeed, uint64(clock.Boot()))),
 	}
 	if v.Bootstrap {
