Bound the memory of all answers under way together

Cause: each answer had a bound, their sum had none. All answers share a pool (io/quota) that breaks off the largest; buffers are used again, since the garbage of growing ones was half of the peak. The answer of a sound endpoint stays whole. The same in the own mode (answer-bytes) for answers and for events that wait for slow callers, and for answers through relays. An answer that this host broke off counts as no crash and no silent engine.

--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -36,6 +36,8 @@
 	// Trace is the file in which the inputs of all decisions are recorded for replay, up to TraceBytes; empty for none.
 	Trace      string
 	TraceBytes int64
+	// AnswerBytes is the memory that all answers of endpoints that the host reads may take together.
+	AnswerBytes int64
 	// Objectives are the service-level targets of the burn report.
 	Objectives burn.Targets
 }
@@ -85,13 +87,13 @@
 func Defaults() Settings {
 	return Settings{
 		LogLevel: "info", Params: world.Defaults(), EntryLife: 5 * time.Second, DrainTimeout: 30 * time.Second,
-		TraceBytes: 256 << 20, Objectives: burn.Defaults(),
+		TraceBytes: 256 << 20, AnswerBytes: 256 << 20, Objectives: burn.Defaults(),
 	}
 }
 
 // sectionKeys holds the valid keys of each section; "host.*" stands for the sections of entry hosts.
 var sectionKeys = map[string][]string{
-	"self":    {"name", "data-folder", "log-level", "drain-timeout", "trace", "trace-bytes"},
+	"self":    {"name", "data-folder", "log-level", "drain-timeout", "trace", "trace-bytes", "answer-bytes"},
 	"host.*":  {"domain", "listen", "peer", "disk"},
 	"callers": {"entry-life"},
 	"tokens":  {"callers", "operators", "endpoints", "peers"},
@@ -136,6 +138,7 @@
 	s.DrainTimeout = r.duration("self", "drain-timeout", s.DrainTimeout)
 	s.Trace = self.Key("trace").String()
 	s.TraceBytes = int64(r.int("self", "trace-bytes", int(s.TraceBytes)))
+	s.AnswerBytes = int64(r.int("self", "answer-bytes", int(s.AnswerBytes)))
 	if _, err := log.ParseLevel(s.LogLevel); err != nil {
 		r.fail("self", "log-level", "want debug, info, warn, error or fatal")
 	}
--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -6,14 +6,12 @@
 
 import (
 	"bufio"
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -23,7 +21,7 @@
 	"golang.org/x/sys/unix"
 
 	"shallotgap/core/ident"
-	"shallotgap/io/clock"
+	"shallotgap/io/quota"
 )
 
 // Timeouts and limits of connections.
@@ -101,6 +99,8 @@
 type Config struct {
 	// Open opens connections; nil for TCP with the timeouts of this package. It is a setting so that tests can cut paths.
 	Open Opener
+	// Memory bounds the answers that are held at a time, with those of other clients that share it; nil for no bound.
+	Memory *quota.Pool
 }
 
 // Client sends requests and pools idle connections.
@@ -150,6 +150,7 @@
 	greeted     bool     // a Greeting was answered as it should be
 	refused     []string // ids of the requests that were refused on the connection
 	onRead      func()   // of the request that uses the connection
+	lease       *quota.Lease
 }
 
 // noHeadLimit is the value of conn.headLeft while no header is read.
@@ -168,6 +169,9 @@
 	n, err := c.Conn.Read(p)
 	if c.headLeft != noHeadLimit {
 		c.headLeft -= int64(n)
+		if holdErr := c.holdHead(); holdErr != nil {
+			return 0, holdErr
+		}
 	}
 	if n > 0 && c.onRead != nil {
 		c.onRead()
@@ -180,6 +184,7 @@
 	*http.Response
 	client    *Client
 	conn      *conn
+	held      quota.Bytes // memory of the header
 	key, id   string
 	stopWatch func() bool // unregisters the function that closes the connection when the context ends
 	// written receives the result of writing the request, once.
@@ -199,14 +204,17 @@
 	if err != nil {
 		return nil, err
 	}
-	cn.onRead = r.OnRead
+	cn.onRead, cn.lease = r.OnRead, c.Memory.Open(func() { _ = cn.Close() })
 	resp := &Response{client: c, conn: cn, key: r.Key, id: r.ID, written: make(chan error, 1), onEnd: r.OnEnd}
 	resp.stopWatch = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	if err := resp.exchange(r); err != nil {
 		sent := !errors.Is(err, errNothingSent)
 		resp.abort()
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			err = context.Cause(ctx)
+		case cn.lease.Evicted():
+			err = quota.ErrEvicted
 		}
 		return nil, &Error{Step: "exchange", Peer: r.Address, Sent: sent, Err: err}
 	}
@@ -242,6 +250,7 @@
 			return fmt.Errorf("read response header: %w", err)
 		}
 		if httpResp.StatusCode >= 200 {
+			resp.held = resp.conn.headMemory()
 			resp.Response, resp.idle, resp.refusal = httpResp, idleTimeout(httpResp.Header), httpResp.StatusCode >= http.StatusBadRequest
 			return nil
 		}
@@ -263,8 +272,11 @@
 // Read reads the body; io.EOF means that the complete body was received.
 func (resp *Response) Read(p []byte) (int, error) {
 	n, err := resp.Body.Read(p)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		resp.complete = true
+	case err != nil && resp.conn.lease.Evicted():
+		err = quota.ErrEvicted
 	}
 	return n, err
 }
@@ -301,6 +313,7 @@
 // close marks the response as closed.
 func (resp *Response) close() {
 	resp.closed = true
+	resp.conn.lease.Close()
 	if resp.onEnd != nil {
 		resp.onEnd()
 		resp.onEnd = nil
@@ -351,59 +364,6 @@
 	return defaultIdleTimeout
 }
 
-// acquire takes an idle connection from the pool or opens a new one.
-func (c *Client) acquire(ctx context.Context, r Request) (*conn, error) {
-	now := clock.Boot()
-	for r.MaxIdle >= 0 {
-		cn := c.takeIdle(r.Key, r.ID, now)
-		if cn == nil {
-			break
-		}
-		if r.MaxIdle > 0 && now.Sub(cn.lastUsed) > r.MaxIdle || !cn.usable() {
-			_ = cn.Close()
-			continue
-		}
-		return cn, nil
-	}
-	raw, err := c.Connect(ctx, r.Address, cmp.Or(r.ConnectWithin, connectTimeout))
-	if err != nil {
-		return nil, err
-	}
-	return c.newConn(raw), nil
-}
-
-// newConn returns a connection that has just been opened.
-func (c *Client) newConn(raw net.Conn) *conn {
-	c.mu.Lock()
-	c.opened++
-	c.mu.Unlock()
-	cn := &conn{Conn: raw, headLeft: noHeadLimit}
-	cn.reader = bufio.NewReaderSize(cn, bufferSize)
-	return cn
-}
-
-// Probe finds out whether an endpoint accepts a connection, and keeps the connection for the next request.
-func (c *Client) Probe(ctx context.Context, key, address string) error {
-	raw, err := c.Connect(ctx, address, connectTimeout)
-	if err != nil {
-		return &Error{Step: "connect", Peer: address, Err: err}
-	}
-	cn := c.newConn(raw)
-	cn.idleTimeout = defaultIdleTimeout
-	c.putIdle(key, cn)
-	return nil
-}
-
-// CloseIdle closes the idle connections of a pool key, as after the loss of the path.
-func (c *Client) CloseIdle(key string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, cn := range c.idle[key] {
-		_ = cn.Close()
-	}
-	delete(c.idle, key)
-}
-
 // setUserTimeout sets TCP_USER_TIMEOUT on a new connection.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var optErr error
@@ -412,78 +372,3 @@
 	})
 	return errors.Join(err, optErr)
 }
-
-// takeIdle returns the most recently used idle connection of a pool key on which the request was not refused before, or nil. It first
-// closes expired connections.
-func (c *Client) takeIdle(key, id string, now ident.Time) *conn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closeExpired(now)
-	list := c.idle[key]
-	for at := len(list) - 1; at >= 0; at-- {
-		if cn := list[at]; !slices.Contains(cn.refused, id) {
-			c.idle[key] = slices.Delete(list, at, at+1)
-			c.reused++
-			return cn
-		}
-	}
-	return nil
-}
-
-// putIdle adds a connection to the pool; it closes the connection if the pool is full or reuse is not allowed.
-func (c *Client) putIdle(key string, cn *conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	cn.lastUsed = clock.Boot()
-	if cn.idleTimeout <= 0 || len(c.idle[key]) >= maxIdlePerKey {
-		_ = cn.Close()
-		return
-	}
-	c.idle[key] = append(c.idle[key], cn)
-}
-
-// closeExpired closes idle connections that exceeded their idle timeout. c.mu must be held.
-func (c *Client) closeExpired(now ident.Time) {
-	if now.Sub(c.sweptAt) < sweepInterval {
-		return
-	}
-	c.sweptAt = now
-	for key, list := range c.idle {
-		kept := list[:0]
-		for _, cn := range list {
-			if now.Sub(cn.lastUsed) < cn.idleTimeout {
-				kept = append(kept, cn)
-			} else {
-				_ = cn.Close()
-			}
-		}
-		c.idle[key] = kept
-		if len(kept) == 0 {
-			delete(c.idle, key)
-		}
-	}
-}
-
-// usable reports whether an idle connection is within its idle timeout, is still open and has no unread data. An end of
-// stream, a reset or data that belongs to no request makes the connection unusable.
-func (c *conn) usable() bool {
-	if c.idleTimeout <= clock.Boot().Sub(c.lastUsed) {
-		return false
-	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	noData := false
-	err = raw.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		_, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		noData = errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return err == nil && noData
-}
--- a/io/engine/answer.go
+++ b/io/engine/answer.go
@@ -13,6 +13,7 @@
 	"shallotgap/core/claim"
 	"shallotgap/core/lease"
 	"shallotgap/core/world"
+	"shallotgap/io/quota"
 	"shallotgap/io/relay"
 )
 
@@ -27,6 +28,8 @@
 type answerReader struct {
 	dispatch world.Dispatch
 	emit     func(relay.Chunk)
+	lease    *quota.Lease
+	unread   quota.Bytes   // bytes of a stream since its last event
 	seq      uint32        // sequence number of the next chunk
 	stored   *claim.Answer // copy of the answer to store, if the request has an idempotency key
 	tooLong  bool          // the answer exceeds claim.MaxBody and is not stored
@@ -63,9 +66,9 @@
 
 // readWhole reads an unstreamed answer to its end and emits it as one chunk.
 func (r *answerReader) readWhole(resp *http.Response) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	body, err := quota.ReadAll(resp.Body, maxAnswer+1, func(n int) error { return r.lease.Hold(quota.Bytes(n)) })
 	if err != nil {
-		return err
+		return r.cause(err)
 	}
 	if len(body) > maxAnswer {
 		return errors.New("the answer is too long")
@@ -125,9 +128,10 @@
 
 // readStream emits each event of a streamed answer as one chunk.
 func (r *answerReader) readStream(resp *http.Response) error {
-	in := bufio.NewScanner(resp.Body)
+	in := bufio.NewScanner(readerFunc(func(p []byte) (int, error) { return r.readEvent(resp.Body, p) }))
 	in.Buffer(make([]byte, 0, 4096), maxEvent)
 	for in.Scan() {
+		r.unread = 0
 		data, ok := bytes.CutPrefix(in.Bytes(), []byte("data: "))
 		if !ok {
 			continue
@@ -146,11 +150,38 @@
 		}
 	}
 	if err := in.Err(); err != nil {
-		return err
+		return r.cause(err)
 	}
 	return errNoEnd
 }
 
+// readerFunc is a function as an io.Reader.
+type readerFunc func(p []byte) (int, error)
+
+// Read calls f.
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// eventCopies is how often the bytes of an event are held while its end is looked for: in a buffer, and in the next larger one.
+const eventCopies = 2
+
+// readEvent reads a part of a stream, and holds memory for the event that it belongs to.
+func (r *answerReader) readEvent(body io.Reader, p []byte) (int, error) {
+	n, err := body.Read(p)
+	r.unread += quota.Bytes(n)
+	if holdErr := r.lease.Hold(eventCopies * r.unread); holdErr != nil {
+		return 0, holdErr
+	}
+	return n, err
+}
+
+// cause returns why reading the answer failed: an answer that is broken off for want of memory is cancelled.
+func (r *answerReader) cause(err error) error {
+	if r.lease.Evicted() {
+		return quota.ErrEvicted
+	}
+	return err
+}
+
 // emitChunk numbers a chunk and emits it; only the first chunk has the status, the content type and the waiting times.
 func (r *answerReader) emitChunk(c relay.Chunk) {
 	c.ID = r.dispatch.Request.ID
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -17,6 +17,7 @@
 	"shallotgap/core/work"
 	"shallotgap/core/world"
 	"shallotgap/io/logs"
+	"shallotgap/io/quota"
 	"shallotgap/io/relay"
 )
 
@@ -40,16 +41,23 @@
 	poolSize     = 256 // idle connections to one endpoint
 )
 
+// Config holds the settings of a client.
+type Config struct {
+	// Memory bounds the answers that are read at a time; nil for no bound.
+	Memory *quota.Pool
+}
+
 // Client sends requests and load orders to endpoints.
 type Client struct {
 	logs.Common
+	Config
 	pooled *http.Client
 }
 
 // New returns a client without open connections.
-func New(common logs.Common) *Client {
+func New(common logs.Common, c Config) *Client {
 	t := &http.Transport{DialContext: dialPooled, MaxIdleConnsPerHost: poolSize, DisableCompression: true}
-	return &Client{Common: common, pooled: &http.Client{Transport: t, CheckRedirect: noRedirect}}
+	return &Client{Common: common, Config: c, pooled: &http.Client{Transport: t, CheckRedirect: noRedirect}}
 }
 
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
@@ -77,7 +85,8 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	signal := limit.Read(resp.Header.Values(LimitHeader))
-	reader := &answerReader{dispatch: d, emit: emit}
+	reader := &answerReader{dispatch: d, emit: emit, lease: c.Memory.Open(cancel)}
+	defer reader.lease.Close()
 	ended := world.Ended{ID: d.Request.ID, State: work.Answered}
 	if err = reader.read(resp, call.Stream); err != nil {
 		state := work.Broken
--- a/io/engine/engine_test.go
+++ b/io/engine/engine_test.go
@@ -119,7 +119,7 @@
 		for _, key := range []ident.Key{"", "release-1"} {
 			t.Run(name+" "+string(key), func(t *testing.T) {
 				e, url := serve(t, c.answer)
-				client := engine.New(common)
+				client := engine.New(common, engine.Config{})
 				d := dispatch(url, lease.Plain, "")
 				first := client.Run(context.Background(), d, relay.Call{Method: http.MethodPost, Path: path}, func(relay.Chunk) {})
 				assert.Equal(t, first.State, work.Answered, first.Detail)
--- a/io/engine/refusal_test.go
+++ b/io/engine/refusal_test.go
@@ -73,7 +73,7 @@
 	common, err := logs.New(io.Discard, "e1", "info")
 	assert.NilError(t, err)
 	url, hasRun := repeatRefusals(t)
-	client := engine.New(common)
+	client := engine.New(common, engine.Config{})
 	outcomes := map[work.EndState]int{}
 	for n := range uint64(200) {
 		d := dispatch(url, lease.Engine, "")
@@ -99,7 +99,7 @@
 		var got []relay.Chunk
 		d := dispatch(server, lease.Engine, "")
 		d.Request.TimeLeft = 5 * time.Second
-		ended := engine.New(common).Run(context.Background(), d, relay.Call{Method: http.MethodPost, Path: path, Stream: true}, func(c relay.Chunk) { got = append(got, c) })
+		ended := engine.New(common, engine.Config{}).Run(context.Background(), d, relay.Call{Method: http.MethodPost, Path: path, Stream: true}, func(c relay.Chunk) { got = append(got, c) })
 		complete := len(got) > 0 && got[len(got)-1].End
 		assert.Equal(t, ended.State == work.Answered, complete)
 		for _, c := range got {
--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -59,6 +59,7 @@
 			writeRejection(w, *inDoubt.Refusal, started)
 			return
 		case c := <-x.Chunks:
+			x.Taken(c)
 			slo.chunk(c)
 			if c.Refusal != nil {
 				writeRejection(w, *c.Refusal, started)
--- a/io/front/events.go
+++ b/io/front/events.go
@@ -11,6 +11,7 @@
 	"shallotgap/core/ident"
 	"shallotgap/io/clock"
 	"shallotgap/io/dial"
+	"shallotgap/io/quota"
 )
 
 // eventStream forwards server-sent events to the caller, complete events only, from one engine or from several in turn.
@@ -82,9 +83,19 @@
 
 // copy forwards events until the response ends; a nil error means that the response was complete.
 func (e *eventStream) copy(resp *dial.Response) error {
+	defer func() {
+		quota.Recycle(e.partial)
+		e.partial = nil
+	}()
 	buf := make([]byte, readSize)
 	for {
 		n, err := resp.Read(buf)
+		if need := len(e.partial) + n; need > cap(e.partial) {
+			if holdErr := resp.Hold(cap(e.partial) + 2*need); holdErr != nil {
+				return holdErr
+			}
+			e.partial = quota.Grow(e.partial, need)
+		}
 		e.partial = append(e.partial, buf[:n]...)
 		if flushErr := e.flush(mediaTypeOf(resp)); flushErr != nil {
 			return flushErr
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -241,6 +241,7 @@
 	f.heed.Forget(now)
 	f.evidence.Forget(now)
 	opened, reused := f.Paths.Counts()
+	f.Meter.Gauge("shallotgap_answer_bytes", int64(f.Paths.Memory.Used()))
 	f.Meter.Gauge("shallotgap_connections_opened", opened)
 	f.Meter.Gauge("shallotgap_connections_reused", reused)
 }
--- a/io/front/plain.go
+++ b/io/front/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -15,6 +16,7 @@
 	"shallotgap/core/pick"
 	"shallotgap/io/clock"
 	"shallotgap/io/dial"
+	"shallotgap/io/quota"
 	"shallotgap/io/reach"
 )
 
@@ -142,15 +144,15 @@
 	v := ex.Dialect.Verdict(ex.call.ID, resp.StatusCode, resp.Header)
 	ex.noteLimit(e.Instance, v, resp.StatusCode, sentAt)
 	ex.noteSaid(e.Instance, v, resp.StatusCode, e.Slots)
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBody))
+	body, err := resp.ReadBody(maxBufferedBody)
 	tooLong := err == nil && !resp.Complete() && len(body) == maxBufferedBody
 	switch {
 	case v.Mismatched || (resp.StatusCode/100 == 2 && !v.Authentic) || (err != nil && ctx.Err() == nil) || (!resp.Complete() && !tooLong):
 		resp.Abort()
 		ex.mayHaveRun = ex.mayHaveRun || !v.NotRun
 		ex.endSend(e, pick.Bad, v.Load)
-		ex.logDecision("send", e.Instance.ID, "broken", "status="+strconv.Itoa(resp.StatusCode)+" stray="+strconv.FormatBool(v.Mismatched))
-		if err != nil {
+		ex.logDecision("send", e.Instance.ID, "broken", "status="+strconv.Itoa(resp.StatusCode)+" stray="+strconv.FormatBool(v.Mismatched)+" cause="+strconv.Quote(fmt.Sprint(err)))
+		if err != nil && !errors.Is(err, quota.ErrEvicted) {
 			ex.checkCrash(ctx, e.Instance, e.Address)
 		}
 		return sendBroken
@@ -213,7 +215,9 @@
 		ex.sends++
 		ex.mayHaveRun = true
 		ex.endSend(e, pick.Bad, nil)
-		ex.checkCrash(ctx, e.Instance, e.Address)
+		if !errors.Is(err, quota.ErrEvicted) {
+			ex.checkCrash(ctx, e.Instance, e.Address)
+		}
 		return sendBroken
 	}
 	if held := (*reach.HeldError)(nil); errors.As(err, &held) {
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -14,6 +14,7 @@
 	"shallotgap/core/grant"
 	"shallotgap/io/clock"
 	"shallotgap/io/dial"
+	"shallotgap/io/quota"
 	"shallotgap/io/reach"
 )
 
@@ -183,8 +184,8 @@
 	}
 	resp.Abort()
 	ex.logDecision("send", p.Instance.ID, "broken", "begun=true wrote="+events.wrote().String()+" "+ex.promptText()+" cause="+strconv.Quote(err.Error()))
-	if sendCtx.Err() != nil {
-		ex.release(req, grant.Failed, first, 0) // no event came in time, which this host ended itself
+	if sendCtx.Err() != nil || errors.Is(err, quota.ErrEvicted) {
+		ex.release(req, grant.Failed, first, 0) // no event came in time, or too many bytes, which this host ended itself
 	} else {
 		ex.releaseBroken(ctx, req, first, breakdown{begun: true, wrote: events.wrote()})
 	}
@@ -235,7 +236,7 @@
 	case err.Sent:
 		ex.sends++
 		ex.mayHaveRun = true
-		if errors.Is(err, errNoEvent) {
+		if errors.Is(err, errNoEvent) || errors.Is(err, quota.ErrEvicted) {
 			ex.release(req, grant.Failed, 0, 0)
 		} else {
 			ex.releaseBroken(ctx, req, 0, breakdown{})
@@ -266,7 +267,7 @@
 		resp.Abort()
 		return sendBroken
 	}
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBody))
+	body, err := resp.ReadBody(maxBufferedBody)
 	if err != nil || !resp.Complete() {
 		resp.Abort()
 		return sendBroken
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -19,6 +19,7 @@
 	"shallotgap/io/logs"
 	"shallotgap/io/metric"
 	"shallotgap/io/peer"
+	"shallotgap/io/quota"
 	"shallotgap/io/relay"
 	"shallotgap/io/trace"
 )
@@ -76,13 +77,14 @@
 
 // New opens the data folder, if one is configured, and returns a host; Run starts it.
 func New(common logs.Common, c Config) (*Host, error) {
+	answers := quota.New(quota.Config{Limit: quota.Bytes(c.Settings.AnswerBytes)})
 	h := &Host{
 		Common:      common,
 		Config:      c,
-		Relay:       relay.New(),
+		Relay:       relay.New(relay.Config{Memory: answers}),
 		Meter:       metric.New(c.Settings.Objectives),
 		Incarnation: ident.Incarnation(time.Now().UnixNano()),
-		client:      engine.New(common),
+		client:      engine.New(common, engine.Config{Memory: answers}),
 		inbox:       make(chan func(*world.World) *world.Event, inboxLength),
 		writes:      disk.NewQueue[world.Write](),
 		loopDone:    make(chan struct{}),
--- a/io/reach/reach.go
+++ b/io/reach/reach.go
@@ -20,6 +20,7 @@
 	"shallotgap/io/dial"
 	"shallotgap/io/logs"
 	"shallotgap/io/metric"
+	"shallotgap/io/quota"
 )
 
 // ErrNoPath is the cause of a send that this host could not make while no other host could be asked whether it can.
@@ -36,6 +37,8 @@
 	// Said decodes what an answer says of its endpoint; nil if answers say nothing.
 	Said  func(status int, h http.Header) heed.Said
 	Meter *metric.Meter
+	// Memory bounds the answers that are held at a time; nil for no bound.
+	Memory *quota.Pool
 }
 
 // Lister returns the endpoints of a service that a host knows; those of all services for the empty name.
@@ -104,7 +107,7 @@
 // New returns a client that has lost no path.
 func New(common logs.Common, c Config) *Client {
 	r := &Client{Common: common, Config: c, paths: reach.New(), gate: heed.NewGate(), badFrom: map[ident.Instance]struct{}{}, relays: reach.NewRelays(), listed: make(chan struct{}), open: map[*openSend]struct{}{}}
-	r.dial, r.hosts = dial.New(dial.Config{Open: c.Open}), dial.New(dial.Config{Open: c.OpenHost})
+	r.dial, r.hosts = dial.New(dial.Config{Open: c.Open, Memory: c.Memory}), dial.New(dial.Config{Open: c.OpenHost, Memory: c.Memory})
 	return r
 }
 
--- a/io/reach/relay.go
+++ b/io/reach/relay.go
@@ -204,6 +204,9 @@
 	if n > maxHeadBytes {
 		return head, errBadReply
 	}
+	if err := resp.Hold(int(n)); err != nil {
+		return head, fmt.Errorf("read reply: %w", err)
+	}
 	data := make([]byte, n)
 	if _, err := io.ReadFull(resp, data); err != nil {
 		return head, fmt.Errorf("read reply: %w", err)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -8,6 +8,7 @@
 
 	"shallotgap/core/ident"
 	"shallotgap/core/work"
+	"shallotgap/io/quota"
 )
 
 // Call is the HTTP part of a request, which the decision core does not need.
@@ -64,23 +65,32 @@
 	ended bool
 	// aborted is set when this host ended the answer while an endpoint may still be working on the request.
 	aborted bool
+	backlog backlog
+}
+
+// Config holds the settings of a Table.
+type Config struct {
+	// Memory bounds the chunks that wait for slow callers, of all exchanges together; nil for no bound.
+	Memory *quota.Pool
 }
 
 // Table holds the open exchanges and the calls that are stored at this host.
 type Table struct {
+	Config
 	mu        sync.Mutex
 	exchanges map[ident.RequestID]*Exchange
 	calls     map[ident.RequestID]Call
 }
 
 // New returns an empty table.
-func New() *Table {
-	return &Table{exchanges: map[ident.RequestID]*Exchange{}, calls: map[ident.RequestID]Call{}}
+func New(c Config) *Table {
+	return &Table{Config: c, exchanges: map[ident.RequestID]*Exchange{}, calls: map[ident.RequestID]Call{}}
 }
 
 // Open starts the exchange of a caller's request and stores its call.
 func (t *Table) Open(id ident.RequestID, c Call) *Exchange {
 	x := &Exchange{ID: id, Chunks: make(chan Chunk, chunkWindow)}
+	x.backlog.lease = t.Memory.Open(func() { go t.breakOff(id) }) // not at once: the table may be locked
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.exchanges[id] = x
@@ -99,6 +109,7 @@
 	if x == nil {
 		return "", false
 	}
+	x.backlog.lease.Close()
 	return x.owner, x.aborted || !x.ended
 }
 
@@ -152,6 +163,10 @@
 		c = brokenChunk(c.ID, "slow-caller")
 		x.aborted = true
 	}
+	if x.backlog.add(len(c.Data)) != nil {
+		x.breakOff()
+		return
+	}
 	x.ended = c.End || c.Refusal != nil
 	x.Chunks <- c
 }
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -49,7 +49,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			table := relay.New()
+			table := relay.New(relay.Config{})
 			x := table.Open(id, relay.Call{})
 			table.SetOwner(id, "e2")
 			for _, chunk := range c.chunks {
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -24,6 +24,7 @@
 	"shallotgap/io/front"
 	"shallotgap/io/logs"
 	"shallotgap/io/metric"
+	"shallotgap/io/quota"
 	"shallotgap/io/reach"
 	"shallotgap/io/voter"
 )
@@ -83,8 +84,13 @@
 	// memoryLimitShare is the share of the memory limit that is set as Go's soft memory limit, near which the garbage collector
 	// runs more often.
 	memoryLimitShare = 0.7
-	headerTimeout    = 10 * time.Second
-	idleTimeout      = 2 * time.Minute
+	// entryMemoryLimitShare is that share for hosts without a log. It leaves half of the limit free, however much garbage answers without end make.
+	entryMemoryLimitShare = 0.4
+	// answerMemoryShare is the share of the memory limit that answers under way may take. The garbage collector lets the heap grow to twice
+	// what is in use, and a buffer is copied as it grows.
+	answerMemoryShare = 0.1
+	headerTimeout     = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
 	// reloadPollInterval is how often the settings file is checked for a change, since a change may come without a signal.
 	reloadPollInterval = time.Second
 	// authorityRetryShare is the share of the constant retry budget that the grant authority may spend on engines. The rest
@@ -115,7 +121,7 @@
 // Run serves until the host has drained after a stop signal, or until one of its components fails.
 func Run(ctx context.Context, common logs.Common, c Config, e Edge, s Signals) error {
 	if c.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(float64(c.MemoryBytes) * memoryLimitShare))
+		debug.SetMemoryLimit(int64(float64(c.MemoryBytes) * c.memoryLimitShare()))
 	}
 	ctx, end := context.WithCancel(ctx)
 	defer end()
@@ -141,8 +147,23 @@
 	return err
 }
 
+// memoryLimitShare returns the share of the memory limit that is set as Go's soft memory limit.
+func (c Config) memoryLimitShare() float64 {
+	if c.runsControlHost() {
+		return memoryLimitShare
+	}
+	return entryMemoryLimitShare
+}
+
+// answerMemory returns the pool for the answers that the host holds at a time.
+func (h *host) answerMemory() *quota.Pool {
+	return quota.New(quota.Config{Limit: quota.Bytes(float64(h.MemoryBytes) * answerMemoryShare), OnEvict: func(quota.Bytes) {
+		h.meter.Count("shallotgap_answers_evicted_total")
+	}})
+}
+
 func (h *host) start(ctx context.Context) error {
-	h.paths = reach.New(h.Common, reach.Config{Open: h.edge.OpenEndpoint, Greeting: h.edge.Dialect.Greeting, Said: h.edge.Dialect.Said, Meter: h.meter})
+	h.paths = reach.New(h.Common, reach.Config{Open: h.edge.OpenEndpoint, Greeting: h.edge.Dialect.Greeting, Said: h.edge.Dialect.Said, Meter: h.meter, Memory: h.answerMemory()})
 	h.group.Go(func() error { return h.paths.Run(ctx) })
 	if h.runsControlHost() {
 		if err := h.startControlHost(ctx); err != nil {
