--- a/fakes/procs/procs.go
+++ b/fakes/procs/procs.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -27,6 +28,10 @@
 	Hosts, Disks, Domains int
 	// EntryLife is the setting entry-life: how long callers may use a list of entry hosts.
 	EntryLife time.Duration
+	// AnswerBytes is the setting answer-bytes, 0 for its default.
+	AnswerBytes int64
+	// WrapEngine changes the handler of each engine; nil for no change.
+	WrapEngine func(http.Handler) http.Handler
 }
 
 // Host is one shallotgap process; Start starts it.
@@ -96,7 +101,11 @@
 	})
 	plain := stand.NewPlain(stand.PlainConfig{ID: "p" + domain, Service: "payments", Domain: domain})
 	d.Plains = append(d.Plains, plain)
-	engineURL := d.serve(httptest.NewServer(engine.Handler()))
+	handler := engine.Handler()
+	if d.WrapEngine != nil {
+		handler = d.WrapEngine(handler)
+	}
+	engineURL := d.serve(httptest.NewServer(handler))
 	plainURL := d.serve(httptest.NewServer(plain.Handler()))
 	d.group.Go(func() error {
 		stand.Announce(d.ctx, d.URLs(), func() stand.Announcement { return engine.Announcement(engineURL) })
@@ -133,6 +142,9 @@
 	}
 	for n, h := range d.Hosts {
 		self := fmt.Sprintf("[self]\nname = %s\ndrain-timeout = 20s\n", h.Name)
+		if d.AnswerBytes > 0 {
+			self += fmt.Sprintf("answer-bytes = %d\n", d.AnswerBytes)
+		}
 		if n < d.Disks {
 			self += fmt.Sprintf("data-folder = %s\n", filepath.Join(d.Folder, h.Name))
 		}
@@ -183,6 +195,24 @@
 // Signal sends a signal to a host's process.
 func (h *Host) Signal(s syscall.Signal) { _ = h.command.Process.Signal(s) }
 
+// ResidentMB returns the resident memory of the process in MB, 0 if it does not run.
+func (h *Host) ResidentMB() int { return ResidentMB(h.command.Process.Pid) }
+
+// ResidentMB returns the resident memory of a process in MB, 0 if it does not run.
+func ResidentMB(pid int) int {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	kb := 0
+	for line := range strings.Lines(string(data)) {
+		if _, err := fmt.Sscanf(line, "VmRSS: %d kB", &kb); err == nil {
+			break
+		}
+	}
+	return kb / 1024
+}
+
 // Kill ends the process with SIGKILL and waits for its end.
 func (h *Host) Kill() {
 	h.Signal(syscall.SIGKILL)
--- a/scene/process_test.go
+++ b/scene/process_test.go
@@ -30,6 +30,13 @@
 	d, err := procs.New(procs.Config{Program: program, Folder: t.TempDir(), Hosts: 7, Disks: 3, Domains: 3, EntryLife: time.Second})
 	assert.NilError(t, err)
 	t.Cleanup(d.Close)
+	addFirstRow(t, d)
+	return d
+}
+
+// addFirstRow waits until all processes serve, adds a row, and waits until they all know it.
+func addFirstRow(t *testing.T, d *procs.Deployment) {
+	t.Helper()
 	for _, h := range d.Hosts {
 		awaitProcess(t, h)
 	}
@@ -45,7 +52,6 @@
 		}
 		assert.Assert(t, fleet.Await(settleTime, known), "the row is not in force on host %s", h.Name)
 	}
-	return d
 }
 
 // asFleetHost wraps a process in a fleet.Host, as the helpers of this package expect it.
