Wait for room on a full disk instead of ending

Cause: any failed write was final, as the content of the disk is unknown after it. A full disk is known: all up to the last sync. The log is cut back to there and the step is tried again each 50 ms; nothing is acknowledged meanwhile, and in the own mode a leader stands down once a write has taken half a lease. Other errors are final as before. A stop signal ends the wait.

--- a/core/world/control.go
+++ b/core/world/control.go
@@ -63,6 +63,7 @@
 // handleReady carries out one batch of the node's output.
 func (w *World) handleReady(r quorum.Ready) {
 	if r.Seq != 0 || len(r.AfterWrite) > 0 {
+		w.openWrites.add(r.Seq, w.now)
 		w.emit(Effect{Write: &Write{
 			Seq: r.Seq, Hard: r.Hard, Snapshot: r.Snapshot, Replace: r.Snapshot != nil, Entries: r.Entries, SendAfter: outbound(r.AfterWrite),
 		}})
@@ -91,6 +92,7 @@
 
 // written tells the replication node that a write is durable.
 func (w *World) written(done Written) {
+	w.openWrites.written(done.Seq)
 	if w.node != nil {
 		w.node.Written(done.Seq)
 	}
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -58,6 +58,7 @@
 	lease  lease.Holder
 	// hostsDown lists the hosts without a lease according to the leader's latest reply to a renewal.
 	hostsDown  []ident.HostID
+	openWrites openWrites
 	leadership *leadership // nil while another host leads
 	leader     ident.HostID
 	// compacting is true from a Compact effect until its Compacted event.
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -106,10 +106,11 @@
 		Now:         h.now(),
 	}
 	if h.Settings.DataFolder != "" {
-		store, stored, err := disk.OpenWith(h.Settings.DataFolder, h.WrapLog)
+		store, stored, err := disk.OpenWith(disk.Config{Folder: h.Settings.DataFolder, Wrap: h.wrapLog, WaitForRoom: true, Stop: h.Stop}.Observed(h.Common, h.Meter))
 		if err != nil {
 			return err
 		}
+		store.Stop = nil // a host that drains waits for room, as its requests go on
 		h.store = store
 		c.Stored = &stored
 	}
@@ -129,6 +130,7 @@
 	group.Go(func() error { return h.network.Run(ctx) })
 	group.Go(func() error { return h.loop(ctx) })
 	if h.store != nil {
+		context.AfterFunc(ctx, h.store.Abandon)
 		group.Go(func() error { return h.writeLoop(ctx) })
 	}
 	return group.Wait()
--- a/io/host/writes.go
+++ b/io/host/writes.go
@@ -6,8 +6,17 @@
 	"time"
 
 	"shallotgap/core/world"
+	"shallotgap/io/disk"
 )
 
+// wrapLog applies WrapLog to the file of the log.
+func (h *Host) wrapLog(name string, f disk.File) disk.File {
+	if h.WrapLog == nil || name != disk.LogFile {
+		return f
+	}
+	return h.WrapLog(f)
+}
+
 // maxWriteBatch is the largest number of writes that share one fsync.
 const maxWriteBatch = 1024
 
@@ -19,7 +28,11 @@
 		case <-ctx.Done():
 			return nil
 		case <-h.writes.Wake():
-			if err := h.writeBatch(h.writes.Take(maxWriteBatch)); err != nil {
+			err := h.writeBatch(h.writes.Take(maxWriteBatch))
+			if err != nil && ctx.Err() != nil {
+				return nil // the host ends while the disk is full
+			}
+			if err != nil {
 				h.Log.WithField("step", "write").WithField("folder", h.Settings.DataFolder).WithError(err).Error("disk-failed")
 				return fmt.Errorf("disk failed, the host stops: %w", err)
 			}
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -114,6 +114,8 @@
 	front *front.Front
 	paths *reach.Client
 	group *errgroup.Group
+	// interrupt is closed when waits for room on a full disk must end.
+	interrupt <-chan struct{}
 	// callers serves callers, calls operators and endpoints, and directory callers that ask for addresses; each is nil if the host does not.
 	callers, calls, directory *server
 }
@@ -127,7 +129,7 @@
 	defer end()
 	group, ctx := errgroup.WithContext(ctx)
 	h := &host{Common: common, Config: c, edge: e, meter: metric.New(burn.Targets{}), group: group}
-	if err := h.start(ctx); err != nil {
+	if err := h.startUnless(ctx, s.Stop); err != nil {
 		return err
 	}
 	common.Log.WithField("file", c.File).WithField("domain", c.Domain).WithField("seeds", c.Seeds).WithField("found", c.Bootstrap).Info("started")
@@ -162,6 +164,23 @@
 	}})
 }
 
+// startUnless starts the components of the host. A stop signal ends the wait for room on a full disk, in which nothing is served yet.
+func (h *host) startUnless(ctx context.Context, stop <-chan struct{}) error {
+	interrupted, interrupt := context.WithCancel(ctx)
+	started := make(chan struct{})
+	defer close(started)
+	go func() {
+		select {
+		case <-stop:
+			interrupt()
+		case <-started:
+		}
+	}()
+	context.AfterFunc(ctx, interrupt)
+	h.interrupt = interrupted.Done()
+	return h.start(ctx)
+}
+
 func (h *host) start(ctx context.Context) error {
 	h.paths = reach.New(h.Common, reach.Config{Open: h.edge.OpenEndpoint, Greeting: h.edge.Dialect.Greeting, Said: h.edge.Dialect.Said, Meter: h.meter, Memory: h.answerMemory()})
 	h.group.Go(func() error { return h.paths.Run(ctx) })
@@ -199,7 +218,7 @@
 	grantParams.HeartbeatLag = h.HeartbeatInterval + 800*time.Millisecond       // one heartbeat interval and the age of its adapter list
 	v, err := voter.New(h.Common, h.meter, voter.Config{
 		Self: ident.HostID(h.Links), Domain: h.Domain, Regions: h.Regions, Operators: string(h.Control), Seeds: h.Seeds, Bootstrap: h.Bootstrap, TargetVoters: h.Voters, Folder: h.Folder,
-		OrderPause: h.OrderPause, GrantParams: grantParams, Listener: links, Engines: h.edge.Engines(h.Common, h.Name, h.paths), DecodeLayout: h.edge.DecodeLayout, Paths: h.paths, RandomSeed: uint64(time.Now().UnixNano()),
+		OrderPause: h.OrderPause, GrantParams: grantParams, Listener: links, Engines: h.edge.Engines(h.Common, h.Name, h.paths), DecodeLayout: h.edge.DecodeLayout, Interrupt: h.interrupt, Paths: h.paths, RandomSeed: uint64(time.Now().UnixNano()),
 	})
 	if err != nil {
 		return err
--- a/io/voter/log.go
+++ b/io/voter/log.go
@@ -188,7 +188,11 @@
 		case <-v.disk.Wake():
 		}
 		for batch := v.disk.Take(maxWriteBatch); len(batch) > 0; batch = v.disk.Take(maxWriteBatch) {
-			if err := v.writeBatch(batch); err != nil {
+			err := v.writeBatch(batch)
+			if err != nil && ctx.Err() != nil {
+				return nil // the host ends while the disk is full
+			}
+			if err != nil {
 				v.Log.WithField("step", "write").WithField("folder", v.Folder).WithError(err).Error("disk-failed")
 				return fmt.Errorf("disk failed, the host stops: %w", err)
 			}
--- a/io/voter/voter.go
+++ b/io/voter/voter.go
@@ -54,6 +54,10 @@
 	// TargetVoters is the number of voters that the leader maintains.
 	TargetVoters int
 	Folder       string
+	// WrapFile wraps the files that are written; nil for none. Tests use it to make writes fail.
+	WrapFile func(name string, f disk.File) disk.File
+	// Interrupt ends the wait of New for room on a full disk when it is closed; nil for a wait without end.
+	Interrupt <-chan struct{}
 	// OrderPause is the minimum time from this host's last order as leader to its first order of a later term. Orders of
 	// two hosts to one engine must not alternate within it.
 	OrderPause  time.Duration
@@ -144,7 +148,7 @@
 
 // New opens the data folder and returns a control host that serves once Run is called.
 func New(common logs.Common, meter *metric.Meter, c Config) (*Voter, error) {
-	store, stored, err := disk.Open(c.Folder)
+	store, stored, err := disk.OpenWith(disk.Config{Folder: c.Folder, Wrap: c.WrapFile, WaitForRoom: true, Stop: c.Interrupt}.Observed(common, meter))
 	if err != nil {
 		return nil, err
 	}
@@ -197,6 +201,7 @@
 // Run serves until the context ends or a disk write fails.
 func (v *Voter) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
+	context.AfterFunc(ctx, v.store.Abandon)
 	group.Go(func() error { return v.mesh.Run(ctx) })
 	group.Go(func() error { return v.loop(ctx) })
 	group.Go(func() error { return v.runDiskWriter(ctx) })
