Handle SIGHUP from the first moment of the process

Cause: the handler came after the settings had been read, and until then the default is to end the process. Failed try: to ask the system whether the signal is handled (Go handles it from the start, to end the process). Commands of a terminal still end.

--- a/io/cmds/cmds.go
+++ b/io/cmds/cmds.go
@@ -38,13 +38,19 @@
 // Env holds the context and streams that a command runs with.
 type Env struct {
 	Context context.Context
+	Reload  <-chan os.Signal // receives SIGHUP from the start of the process on
 	In      io.Reader
 	Out     io.Writer
 	Err     io.Writer
 }
 
+// platformCommand is the command whose process reloads its settings at SIGHUP.
+const platformCommand = "platform"
+
 // Run parses the arguments, runs the command and returns the exit code.
 func Run(args []string, out, errOut io.Writer) int {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP) // before anything else: by default, the signal ends the process
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	var cli CLI
@@ -59,7 +65,10 @@
 		_, _ = fmt.Fprintf(errOut, "shallotgap: %v\n", err)
 		return int(Usage)
 	}
-	err = parsed.Run(&Env{Context: ctx, In: os.Stdin, Out: out, Err: errOut})
+	if parsed.Command() != platformCommand {
+		signal.Reset(syscall.SIGHUP) // commands of a terminal end with it
+	}
+	err = parsed.Run(&Env{Context: ctx, Reload: reload, In: os.Stdin, Out: out, Err: errOut})
 	if err != nil {
 		_, _ = fmt.Fprintf(errOut, "shallotgap: %v\n", err)
 	}
--- a/io/cmds/platform.go
+++ b/io/cmds/platform.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"shallotgap/io/logs"
 	"shallotgap/io/site"
@@ -34,8 +31,5 @@
 	if err != nil {
 		return withCode(Usage, err)
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
-	return site.Run(context.Background(), common, c, platform.Edge(), site.Signals{Stop: env.Context.Done(), Reload: reload})
+	return site.Run(context.Background(), common, c, platform.Edge(), site.Signals{Stop: env.Context.Done(), Reload: env.Reload})
 }
