Serve although the port for metrics is taken

A host ended right after its start where any connection had the number of its metrics port for a moment.

TestTakenMetricsPortDoesNotEndHost failed before.

--- a/io/site/site.go
+++ b/io/site/site.go
@@ -194,17 +194,7 @@
 			return err
 		}
 	}
-	if h.Metrics == "" {
-		return nil
-	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		if err := h.meter.WriteText(w); err != nil {
-			h.Log.WithField("step", "metrics").WithError(err).Warn("reader-left")
-		}
-	})
-	_, err := h.serve(ctx, h.Metrics, mux)
-	return err
+	return h.serveMetrics(ctx)
 }
 
 func (h *host) startControlHost(ctx context.Context) error {
