Keep relays that the list of a started control host lacks

Cause: a list of relays replaced the one before, whoever sent it, and a control host that has just started knows none. A relay that lists lack stays for a second. Ruled out by a trace of the rejections: the election (plain requests were rejected too, and nothing between 4 and 6 s), an empty layout (hosts with a path served).

TestListsOfStartedControlHosts failed before.

--- a/core/reach/relay.go
+++ b/core/reach/relay.go
@@ -67,12 +67,19 @@
 // relayBackoff is how long a relay that could not be used is left out: the time in which the control hosts notice that it is gone.
 const relayBackoff = time.Second
 
+// relayTTL is how long a relay stays in use while lists lack it: longer than two intervals of presence, after which a control host that has started
+// knows all entry hosts.
+const relayTTL = time.Second
+
 // relayUse is how a host uses a relay.
 type relayUse struct {
 	running   int // sends under way
 	failedAt  ident.Time
 	hasFailed bool
 	usedAt    uint64 // count of sends at its latest use
+	// missingSince is when the first list came that lacks the relay, if the latest one lacks it.
+	missingSince ident.Time
+	isMissing    bool
 }
 
 // Relays are the relays of a host.
@@ -85,11 +92,31 @@
 // NewRelays returns an empty list.
 func NewRelays() *Relays { return &Relays{uses: map[ident.HostID]*relayUse{}} }
 
-// Set replaces the list.
-func (r *Relays) Set(list []Relay) {
+// Set takes in a list of a control host. Relays that it lacks stay in use for relayTTL, after those that it has: a control host that has just
+// started does not know all of them.
+func (r *Relays) Set(list []Relay, now ident.Time) {
+	has := func(h ident.HostID) bool {
+		return slices.ContainsFunc(list, func(x Relay) bool { return x.Host == h })
+	}
+	for _, x := range list {
+		r.useOf(x.Host).isMissing = false
+	}
+	list = slices.Clone(list)
+	for _, x := range r.list {
+		u := r.useOf(x.Host)
+		if has(x.Host) {
+			continue
+		}
+		if !u.isMissing {
+			u.isMissing, u.missingSince = true, now
+		}
+		if now.Sub(u.missingSince) < relayTTL {
+			list = append(list, x)
+		}
+	}
 	r.list = list
 	for h, u := range r.uses {
-		if u.running == 0 && !slices.ContainsFunc(list, func(x Relay) bool { return x.Host == h }) {
+		if u.running == 0 && !has(h) {
 			delete(r.uses, h)
 		}
 	}
--- a/core/reach/relay_test.go
+++ b/core/reach/relay_test.go
@@ -48,8 +48,8 @@
 // Sends are spread over the relays; one that failed is left out for a while.
 func TestRelaysAreSpread(t *testing.T) {
 	r := NewRelays()
-	r.Set([]Relay{relay("h1", ""), relay("h2", ""), relay("h3", "", "a")})
 	now := ident.Time(time.Hour)
+	r.Set([]Relay{relay("h1", ""), relay("h2", ""), relay("h3", "", "a")}, now)
 	counts := map[ident.HostID]int{}
 	for range 10 {
 		x, found := r.Take(target("a", 1), nil, now)
@@ -69,6 +69,55 @@
 	assert.Equal(t, x.Host, ident.HostID("h1"))
 }
 
+// A control host that has just started knows few hosts, or none. Its lists do not take relays away that the others still list.
+func TestListsOfStartedControlHosts(t *testing.T) {
+	type list struct {
+		after time.Duration
+		names string
+		want  string
+	}
+	const interval = 400 * time.Millisecond
+	for name, lists := range map[string][]list{
+		"an empty one among full ones":      {{0, "h1 h2", "h1 h2"}, {0, "", "h1 h2"}, {interval, "h1 h2", "h1 h2"}, {0, "h1 h2", "h1 h2"}},
+		"a part":                            {{0, "h1 h2", "h1 h2"}, {0, "h2", "h2 h1"}, {interval, "h1 h2", "h1 h2"}},
+		"all control hosts start at once":   {{0, "h1 h2", "h1 h2"}, {time.Minute, "", "h1 h2"}, {0, "h1", "h1 h2"}, {interval, "h1 h2", "h1 h2"}},
+		"a relay has ended":                 {{0, "h1 h2", "h1 h2"}, {interval, "h2", "h2 h1"}, {interval, "h2", "h2 h1"}, {interval, "h2", "h2 h1"}, {interval, "h2", "h2"}},
+		"a relay comes back and ends again": {{0, "h1", "h1"}, {interval, "", "h1"}, {interval, "h1", "h1"}, {interval, "", "h1"}, {interval, "", "h1"}, {interval, "", "h1"}, {interval, "", ""}},
+		"all relays have ended":             {{0, "h1", "h1"}, {0, "", "h1"}, {relayTTL - 1, "", "h1"}, {1, "", ""}},
+		"a new relay":                       {{0, "h1", "h1"}, {interval, "h2 h1", "h2 h1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, now := NewRelays(), ident.Time(time.Hour)
+			for n, l := range lists {
+				now = now.Add(l.after)
+				var relays []Relay
+				for _, h := range strings.Fields(l.names) {
+					relays = append(relays, relay(h, ""))
+				}
+				r.Set(relays, now)
+				names := []string{}
+				for _, x := range r.list {
+					names = append(names, string(x.Host))
+				}
+				assert.Equal(t, strings.Join(names, " "), l.want, "list %d", n)
+				assert.Equal(t, r.Len(), len(names))
+			}
+		})
+	}
+}
+
+// The latest list says which paths a relay lacks.
+func TestLatestListSaysWhatRelayLacks(t *testing.T) {
+	r, now := NewRelays(), ident.Time(time.Hour)
+	r.Set([]Relay{relay("h1", "")}, now)
+	r.Set([]Relay{relay("h1", "", "a")}, now)
+	_, found := r.Take(target("a", 1), nil, now)
+	assert.Check(t, !found)
+	r.Set([]Relay{relay("h1", "")}, now)
+	_, found = r.Take(target("a", 1), nil, now)
+	assert.Check(t, found)
+}
+
 // Orders to an engine come from one machine at a time, each with a fencing token of its own, and no two of them alternate.
 func TestHolders(t *testing.T) {
 	type order struct {
--- a/io/reach/paths.go
+++ b/io/reach/paths.go
@@ -216,11 +216,11 @@
 	return c.paths.CutOff(s)
 }
 
-// SetRelays replaces the hosts that can send for this one.
+// SetRelays takes in a control host's list of the hosts that can send for this one.
 func (c *Client) SetRelays(list []reach.Relay) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.relays.Set(list)
+	c.relays.Set(list, clock.Boot())
 	select {
 	case <-c.listed:
 	default:
