Lower the number of entry hosts only after a second of lower counts

With all control hosts just started, a host without a leader took all of an endpoint's limit for 0.4 s: the first statuses count 0 or 1 entry hosts.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -165,7 +165,8 @@
 	leader         ident.HostID
 	fallback       ident.HostID // see calls.Forwarder.SetFallback
 	term           ident.Term
-	entryHosts     int             // number of ready entry hosts, from the last status
+	entryHosts     int             // number of ready entry hosts, from knownHosts
+	knownHosts     limit.Peak      // of the counts in statuses
 	poison         *poison.Table   // the suspected and blocked parts of prompts
 	written        *poison.Written // the parts that engines wrote on lately for this host
 	evidence       *poison.Evidence
--- a/io/front/links.go
+++ b/io/front/links.go
@@ -84,7 +84,7 @@
 	f.mu.Lock()
 	f.controlStatus[from] = s
 	changed := f.updateControlHosts()
-	f.entryHosts = f.countEntryHosts()
+	f.entryHosts = f.knownHosts.Add(f.countEntryHosts(), clock.Boot())
 	newLeader := s.Leads && s.Term >= f.term && (f.leader != from || f.term != s.Term)
 	if newLeader {
 		f.leader, f.term = from, s.Term
@@ -123,7 +123,7 @@
 }
 
 // countEntryHosts returns the largest number of entry hosts that a linked control host knows. One that has just started does not know
-// all of them. The caller must hold f.mu.
+// all of them; where all of them have just started, knownHosts keeps the count. The caller must hold f.mu.
 func (f *Front) countEntryHosts() int {
 	n := 1
 	for _, s := range f.controlStatus {
