Take no share of an endpoint beside a leader that is heard

Cause: a request for a permit without a reply in time was read as "there is no leader", and the host took its share on top of the permits that ran. A host that has heard the leader within a second rejects as not run instead. Ruled out: the leader's count (it agrees with the endpoint's, but for shares).

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -163,6 +163,7 @@
 	operators      map[ident.HostID]string // where linked control hosts take the calls of operators
 	controlHosts   []ident.HostID          // from controlStatus; never modified in place
 	leader         ident.HostID
+	leaderHeardAt  ident.Time   // when the leader last sent a status
 	fallback       ident.HostID // see calls.Forwarder.SetFallback
 	term           ident.Term
 	entryHosts     int             // number of ready entry hosts, from knownHosts
--- a/io/front/links.go
+++ b/io/front/links.go
@@ -92,6 +92,9 @@
 	} else if f.leader == from && !s.Leads {
 		f.leader = ""
 	}
+	if f.leader == from {
+		f.leaderHeardAt = clock.Boot()
+	}
 	f.Follow(f.leader, clock.Boot())
 	f.chooseFallback()
 	f.mu.Unlock()
--- a/io/front/permit.go
+++ b/io/front/permit.go
@@ -21,6 +21,8 @@
 	// permitProbe is the time after which a permit is asked for although an endpoint without a limit is better. A limited endpoint
 	// that gets nothing is lost capacity, and does not tell when its limit has ended.
 	permitProbe = time.Second
+	// leaderSilence is the time without a status after which a leader counts as silent: two intervals of statuses and a margin for its loop.
+	leaderSilence = time.Second
 )
 
 // permitTimes are the times of a service's permits on this host.
@@ -160,11 +162,21 @@
 		return grant.Reply{ID: a.ID, Cause: grant.TooLate}, false
 	case <-timer.C:
 		f.withdraw(req)
+		if f.hearsLeader() {
+			return grant.Reply{Cause: grant.Limited, After: failedRetryAfter}, false // it has given the places and sends to others
+		}
 		reply = f.permitFromShare(a)
 		return reply, reply.Place != nil
 	}
 }
 
+// hearsLeader reports whether the leader has sent a status lately.
+func (f *Front) hearsLeader() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leader != "" && clock.Boot().Sub(f.leaderHeardAt) < leaderSilence
+}
+
 // awaitShare waits until this host's share of the endpoints allows a send, as long as the request may wait.
 func (f *Front) awaitShare(ctx context.Context, a grant.Ask) grant.Reply {
 	end := clock.Boot().Add(a.Left)
