Keep a relay that answers others while a connection to it is slow

The relay was then left out for a second, so that all requests of the host were rejected, though the relay answered others all the time. A relay that has answered another send since is kept now, and tried again by the same request if there is no other one; once in a second only, as a path may take no new connection while old ones work.

Ruled out by the trace: that the answers broken off for want of memory count against the relay (none of them had it left out).

--- a/core/reach/relay.go
+++ b/core/reach/relay.go
@@ -77,6 +77,8 @@
 	failedAt  ident.Time
 	hasFailed bool
 	usedAt    uint64 // count of sends at its latest use
+	// answeredAt is when it answered last, slowAt when a connection to it was given up last although it answered; 0 for never.
+	answeredAt, slowAt ident.Time
 	// missingSince is when the first list came that lacks the relay, if the latest one lacks it.
 	missingSince ident.Time
 	isMissing    bool
@@ -169,3 +171,20 @@
 	u := r.useOf(h)
 	u.hasFailed, u.failedAt = true, now
 }
+
+// Answered records that a relay answered a send.
+func (r *Relays) Answered(h ident.HostID, now ident.Time) { r.useOf(h).answeredAt = now }
+
+// EndTimedOut ends a send, begun at a time, for which no connection to the relay opened in time. It reports whether the relay stays in use, since it
+// answered another send meanwhile: then it is this host or the relay that is slow, not the path. That holds once in relayBackoff, as a path may
+// take no new connection while old ones work; sends that had begun by then count with it.
+func (r *Relays) EndTimedOut(h ident.HostID, began, now ident.Time) bool {
+	u := r.useOf(h)
+	isSame := began <= u.slowAt
+	stays := u.answeredAt >= began && (u.slowAt == 0 || isSame || now.Sub(u.slowAt) >= relayBackoff)
+	if stays && !isSame {
+		u.slowAt = now
+	}
+	r.End(h, !stays, now)
+	return stays
+}
--- a/core/reach/relay_test.go
+++ b/core/reach/relay_test.go
@@ -106,6 +106,43 @@
 	}
 }
 
+// A relay to which a connection took too long was left out for a second, though it answered others meanwhile.
+func TestRelayThatAnswersStaysInUse(t *testing.T) {
+	const ms = ident.Time(time.Millisecond)
+	type send struct{ began, ended ident.Time } // the end of its time
+	for name, c := range map[string]struct {
+		answered ident.Time
+		sends    []send
+		stays    []bool
+	}{
+		"it answers nobody":                      {0, []send{{100, 500}}, []bool{false}},
+		"it answered before the send":            {99, []send{{100, 500}}, []bool{false}},
+		"it answers another send":                {300, []send{{100, 500}}, []bool{true}},
+		"sends that began before the first end":  {300, []send{{100, 500}, {110, 510}, {300, 700}}, []bool{true, true, true}},
+		"again, as new connections fail":         {600, []send{{100, 500}, {501, 901}}, []bool{true, false}},
+		"again, long after":                      {1900, []send{{100, 500}, {1600, 2000}}, []bool{true, true}},
+		"again, too long without another answer": {600, []send{{100, 500}, {1600, 2000}}, []bool{true, false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, start := NewRelays(), ident.Time(time.Hour)
+			r.Set([]Relay{relay("h1", "")}, start)
+			for range c.sends {
+				_, found := r.Take(target("a", 1), nil, start)
+				assert.Assert(t, found)
+			}
+			if c.answered > 0 {
+				r.Answered("h1", start+c.answered*ms)
+			}
+			for n, s := range c.sends {
+				now := start + s.ended*ms
+				assert.Equal(t, r.EndTimedOut("h1", start+s.began*ms, now), c.stays[n], "send %d", n)
+				_, found := r.Take(target("a", 1), nil, now)
+				assert.Equal(t, found, c.stays[n], "send %d", n)
+			}
+		})
+	}
+}
+
 // The latest list says which paths a relay lacks.
 func TestLatestListSaysWhatRelayLacks(t *testing.T) {
 	r, now := NewRelays(), ident.Time(time.Hour)
--- a/io/reach/reach.go
+++ b/io/reach/reach.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -225,11 +226,14 @@
 	if errors.Is(cause, syscall.ECONNREFUSED) {
 		others = c.others(r.Target)
 	}
-	var tried []ident.HostID
+	var tried, slow []ident.HostID
 	var held error // the endpoint wants nothing from a relay
 	for range maxRelayTries {
 		c.mu.Lock()
-		via, found := c.relays.Take(r.Target, tried, clock.Boot())
+		via, found := c.relays.Take(r.Target, slices.Concat(tried, slow), clock.Boot())
+		if !found { // a slow one again, rather than none
+			via, found = c.relays.Take(r.Target, tried, clock.Boot())
+		}
 		c.mu.Unlock()
 		if !found || ctx.Err() != nil {
 			break
@@ -238,9 +242,13 @@
 			c.endRelay(via, false)
 			return nil, &dial.Error{Step: "relay", Peer: string(via.Host), Err: errTooLate}
 		}
-		tried = append(tried, via.Host)
 		resp, result, err := c.sendThrough(ctx, r, via, others)
 		c.logRelayed(r.Target, via, result, err)
+		if result == relaySlow && ctx.Err() == nil {
+			slow = append(slow, via.Host)
+			continue
+		}
+		tried = append(tried, via.Host)
 		switch {
 		case result == relayServed:
 			if resp != nil {
@@ -264,7 +272,7 @@
 	if held != nil {
 		return nil, held
 	}
-	if len(tried) == 0 && errors.Is(cause, ErrNoPath) && r.Build != nil && !c.CutOff(r.Service) {
+	if len(tried)+len(slow) == 0 && errors.Is(cause, ErrNoPath) && r.Build != nil && !c.CutOff(r.Service) {
 		// No other host reaches this endpoint either, so that it may not be a matter of the path.
 		resp, err := c.direct(ctx, r)
 		if err == nil || !isConnectError(err) || ctx.Err() != nil {
--- a/io/reach/relay.go
+++ b/io/reach/relay.go
@@ -7,11 +7,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"shallotgap/core/ident"
 	"shallotgap/core/reach"
 	"shallotgap/core/wire"
 	"shallotgap/io/clock"
@@ -49,6 +51,7 @@
 	relayHeld      relayResult = "held"      // the endpoint wants nothing from the relay now, or leaves
 	relayRefused   relayResult = "refused"   // the relay sends nothing for other hosts now
 	relayDown      relayResult = "down"      // the relay could not be reached
+	relaySlow      relayResult = "slow"      // no connection to the relay opened in time, though it answered another request meanwhile
 )
 
 // relayHead is the beginning of the response to a relayed request.
@@ -114,18 +117,18 @@
 		c.endRelay(via, false)
 		return nil, relayRefused, &dial.Error{Step: "relay", Peer: string(via.Host), Err: err}
 	}
+	began := clock.Boot()
 	resp, err := c.hosts.Do(ctx, dial.Request{
 		Key: "relay/" + string(via.Host), Address: string(via.Host), Method: http.MethodPost, Target: link.RelayPath, Host: string(via.Host), Body: body, HasBody: true,
 		MaxIdle: m.MaxIdle, OnEnd: func() { c.endRelay(via, false) },
 	})
 	var failed *dial.Error
 	if errors.As(err, &failed) {
-		sent := failed.Sent && m.Method != ""
-		c.failRelay(ctx, via, failed)
-		if sent {
+		result := c.failRelay(ctx, via, failed, began)
+		if failed.Sent && m.Method != "" {
 			return nil, relayLost, &dial.Error{Step: "relay", Peer: string(via.Host), Sent: true, Err: err}
 		}
-		return nil, relayDown, &dial.Error{Step: "relay", Peer: string(via.Host), Err: err}
+		return nil, result, &dial.Error{Step: "relay", Peer: string(via.Host), Err: err}
 	}
 	if resp.StatusCode != http.StatusOK {
 		resp.Abort()
@@ -138,6 +141,7 @@
 		c.endRelayFailed(via)
 		return nil, relayLost, &dial.Error{Step: "relay", Peer: string(via.Host), Sent: m.Method != "", Err: err}
 	}
+	c.hearRelay(via)
 	if head.Result == relayServed && m.Method != "" {
 		resp.Replace(head.Status, head.Header, head.Length)
 		return resp, relayServed, nil
@@ -170,13 +174,31 @@
 	return e
 }
 
-// failRelay records that a relay gave no response, unless the request itself ended.
-func (c *Client) failRelay(ctx context.Context, via reach.Relay, err *dial.Error) {
-	if err.Step == stepConnect {
+// failRelay records that a relay gave no response to a send begun at a time, unless the request itself ended.
+func (c *Client) failRelay(ctx context.Context, via reach.Relay, err *dial.Error, began ident.Time) relayResult {
+	var timeout net.Error
+	switch {
+	case err.Step != stepConnect:
+		if ctx.Err() == nil {
+			c.endRelayFailed(via)
+		}
+	case ctx.Err() == nil && errors.As(err.Err, &timeout) && timeout.Timeout():
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.relays.EndTimedOut(via.Host, began, clock.Boot()) {
+			return relaySlow
+		}
+	default:
 		c.endRelay(via, ctx.Err() == nil)
-	} else if ctx.Err() == nil {
-		c.endRelayFailed(via)
 	}
+	return relayDown
+}
+
+// hearRelay records that a relay answered.
+func (c *Client) hearRelay(via reach.Relay) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.relays.Answered(via.Host, clock.Boot())
 }
 
 // endRelay ends the count of a send through a relay.
