Use a connection that is given back while a new one is opened in vain

The pool was empty when the request came, so what it holds after the failure was in use until then, and the path is alive. A request that asks for a fresh connection gets none.

TestReturnedConnection failed before.

--- a/io/dial/pool.go
+++ b/io/dial/pool.go
@@ -31,11 +31,29 @@
 	}
 	raw, err := c.Connect(ctx, r.Address, cmp.Or(r.ConnectWithin, connectTimeout))
 	if err != nil {
+		if ctx.Err() == nil {
+			if cn := c.takeReturned(r, now); cn != nil {
+				return cn, nil
+			}
+		}
 		return nil, err
 	}
 	return c.newConn(raw), nil
 }
 
+// takeReturned returns a connection that another request has given back while one was opened in vain, or nil: the pool was empty before.
+func (c *Client) takeReturned(r Request, now ident.Time) *conn {
+	if r.MaxIdle < 0 {
+		return nil
+	}
+	cn := c.takeIdle(r.Key, r.ID, now)
+	if cn != nil && !cn.usable() {
+		_ = cn.Close()
+		return nil
+	}
+	return cn
+}
+
 // newConn returns a connection that has just been opened.
 func (c *Client) newConn(raw net.Conn) *conn {
 	c.mu.Lock()
