Allocate the window of an answer as pointers

Each request of the own mode took 140 kB for the window of its answer before it had any, which no limit counted: 1,000 waiting requests took 140 MB.

A window of 1,024 pointers takes 8 kB. TestMemoryOfExchangeWithoutAnswer (bound 16 kB, the size up to which an answer does not count, twice) failed before with 140,078 bytes.

--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -60,7 +60,7 @@
 			return
 		case c := <-x.Chunks:
 			x.Taken(c)
-			slo.chunk(c)
+			slo.chunk(*c)
 			if c.Refusal != nil {
 				writeRejection(w, *c.Refusal, started)
 				return
--- a/io/entry/stop_test.go
+++ b/io/entry/stop_test.go
@@ -30,9 +30,9 @@
 			common, err := logs.New(io.Discard, "h", "error")
 			assert.NilError(t, err)
 			s := &Server{Common: common, ending: make(chan struct{})}
-			x := &relay.Exchange{Chunks: make(chan relay.Chunk, 1)}
+			x := &relay.Exchange{Chunks: make(chan *relay.Chunk, 1)}
 			if c.begun {
-				x.Chunks <- relay.Chunk{Status: http.StatusOK, ContentType: "text/event-stream", Data: []byte("data: x\n\n")}
+				x.Chunks <- &relay.Chunk{Status: http.StatusOK, ContentType: "text/event-stream", Data: []byte("data: x\n\n")}
 			}
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				s.writeAnswer(w, r, x, time.Minute, newSLORecorder(metric.New(burn.Defaults()), work.Request{}, relay.Call{}))
--- a/io/relay/memory.go
+++ b/io/relay/memory.go
@@ -23,7 +23,7 @@
 }
 
 // Taken gives back the memory of a chunk that was received from Chunks.
-func (x *Exchange) Taken(c Chunk) {
+func (x *Exchange) Taken(c *Chunk) {
 	_ = x.backlog.add(-len(c.Data)) // fails only once the chunks were evicted, and then breakOff tells the caller
 }
 
@@ -46,5 +46,6 @@
 	}
 	x.aborted = x.aborted || !x.ended
 	x.ended = true
-	x.Chunks <- brokenChunk(x.ID, "memory")
+	broken := brokenChunk(x.ID, "memory")
+	x.Chunks <- &broken
 }
--- a/io/relay/memory_test.go
+++ b/io/relay/memory_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"runtime"
 	"testing"
 	"time"
 
@@ -79,3 +80,20 @@
 		})
 	}
 }
+
+// Each request took 150 kB for the window of its answer before it had any, which no limit counted.
+func TestMemoryOfExchangeWithoutAnswer(t *testing.T) {
+	const (
+		exchanges = 200
+		bound     = 16 << 10 // bytes of one exchange, as for a small answer
+	)
+	table := relay.New(relay.Config{})
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for n := range uint64(exchanges) {
+		table.Open(ident.RequestID{Host: "e1", Seq: n}, relay.Call{})
+	}
+	runtime.ReadMemStats(&after)
+	size := (after.TotalAlloc - before.TotalAlloc) / exchanges
+	assert.Assert(t, size <= bound, "%d bytes", size)
+}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -57,8 +57,8 @@
 // Exchange is a caller's request at its entry host, until the answer is complete or the caller disconnects.
 type Exchange struct {
 	ID      ident.RequestID
-	Chunks  chan Chunk
-	nextSeq uint32 // sequence number of the next chunk
+	Chunks  chan *Chunk // pointers, as the whole window is allocated before the answer begins
+	nextSeq uint32      // sequence number of the next chunk
 	// owner is the host that the request was forwarded to, or "".
 	owner ident.HostID
 	// ended is set once the last chunk or a rejection has been delivered.
@@ -89,7 +89,7 @@
 
 // Open starts the exchange of a caller's request and stores its call.
 func (t *Table) Open(id ident.RequestID, c Call) *Exchange {
-	x := &Exchange{ID: id, Chunks: make(chan Chunk, chunkWindow)}
+	x := &Exchange{ID: id, Chunks: make(chan *Chunk, chunkWindow)}
 	x.backlog.lease = t.Memory.Open(func() { go t.breakOff(id) }) // not at once: the table may be locked
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -168,7 +168,7 @@
 		return
 	}
 	x.ended = c.End || c.Refusal != nil
-	x.Chunks <- c
+	x.Chunks <- &c
 }
 
 // FailOwnedBy ends all exchanges whose request was forwarded to host h, with a rejection.
@@ -178,7 +178,8 @@
 	for _, x := range t.exchanges {
 		if x.owner == h && !x.ended {
 			x.ended = true
-			x.Chunks <- brokenChunk(x.ID, "link")
+			broken := brokenChunk(x.ID, "link")
+			x.Chunks <- &broken
 		}
 	}
 }
