--- a/core/grant/crash.go
+++ b/core/grant/crash.go
@@ -81,7 +81,7 @@
 const (
 	// lateHeartbeat is how long after a crash a heartbeat from before it may arrive.
 	lateHeartbeat = 5 * time.Second
-	// crashMemory is how long a crashed endpoint may still be listed as ready, as nothing tells that it has ended.
+	// crashMemory is how long a crashed endpoint may still be listed as ready: its end is not reported.
 	crashMemory = time.Minute
 )
 
--- a/core/grant/poison_test.go
+++ b/core/grant/poison_test.go
@@ -27,7 +27,7 @@
 	served     map[string]int
 	blamed     map[poison.Part]bool
 	everRan    map[ident.Instance]*simEngine // engines, also those that crashed
-	// answer tells what happens to a stream when its engine begins to answer, probe what a probe of an engine finds.
+	// answer returns the outcome of a stream when its engine begins to answer, probe the result of probing an engine.
 	answer func(a grant.Ask) streamEnd
 	probe  func(e *simEngine) grant.ProbeResult
 	// probeTime is how long a probe takes, 0 for simTick.
--- a/core/grant/shut.go
+++ b/core/grant/shut.go
@@ -27,7 +27,7 @@
 	cause          Cause // of the latest rejection
 }
 
-// shutWatch tracks engines and adapters that are out of use, and logs those that stay so.
+// shutWatch tracks engines and adapters that can't be used, and logs those that can't for longer than shutAfter.
 type shutWatch struct {
 	unserved map[book.AdapterRef]demand
 	checked  ident.Time
@@ -36,7 +36,7 @@
 	health    Health
 }
 
-// Health counts the engines and adapters that have been out of use for longer than shutAfter.
+// Health counts the engines and adapters that have been unavailable for longer than shutAfter.
 type Health struct {
 	InDoubt      int // engines whose state is unknown
 	Silent       int // engines without a sign of life that have not left
--- a/core/grant/waiting_test.go
+++ b/core/grant/waiting_test.go
@@ -12,8 +12,8 @@
 	"shallotgap/core/ident"
 )
 
-// A new authority gets many requests for one adapter before it knows what most engines hold. The requests must wait for the
-// engines' reports rather than in the queue of the only engine that is known to hold the adapter.
+// A new authority gets many requests for one adapter before most engines have reported their adapters. The requests must wait
+// for the reports, not in the queue of the only engine known to hold the adapter.
 func TestRequestsWaitForReports(t *testing.T) {
 	s := newSim(t, 8)
 	s.prefillRate, s.serialPrefill, s.reportLag = 38, true, 60*time.Millisecond
--- a/core/heed/brittle.go
+++ b/core/heed/brittle.go
@@ -48,7 +48,7 @@
 	// Brittle is set for an endpoint that says so, and NotBrittle for one that does not any more.
 	Brittle    *Brittle `json:"brittle,omitempty"`
 	NotBrittle bool     `json:"not-brittle,omitempty"`
-	// Leaving is true for an endpoint that says that it leaves, Rest is how long it wants nothing from the reporting host.
+	// Leaving is true for an endpoint that announces its shutdown, Rest is how long it asks the reporting host to send nothing.
 	Leaving bool          `json:"leaving,omitempty"`
 	Rest    time.Duration `json:"rest,omitempty"`
 	// Slots is the number of requests that the endpoint processes at a time.
--- a/core/heed/gate.go
+++ b/core/heed/gate.go
@@ -9,7 +9,7 @@
 	"shallotgap/core/ident"
 )
 
-// Said is what an answer says of its endpoint, beside its limit.
+// Said is the state of its endpoint that an answer reports, without its limit.
 type Said struct {
 	// Leaving is true for an endpoint that leaves: it wants no new requests.
 	Leaving bool
@@ -41,7 +41,7 @@
 	return rest, bad
 }
 
-// ReadLeaving parses the values of the header by which an endpoint says that it leaves. Any of them counts that is a number above 0.
+// ReadLeaving parses the values of the header by which an endpoint announces its shutdown. Any number above 0 counts.
 func ReadLeaving(values []string) (leaving bool, bad string) {
 	for _, text := range values {
 		n, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
--- a/core/limit/pool.go
+++ b/core/limit/pool.go
@@ -26,7 +26,7 @@
 	// proposeInterval is the time between two changes of one record in the replicated table. An endpoint may name another limit with
 	// each answer.
 	proposeInterval = 500 * time.Millisecond
-	// forgetAfter is the time without a send after which a limit is dropped, as nothing tells of its end. Endpoints that are in use
+	// forgetAfter is the time without a send after which a limit is dropped: its end is not reported. Endpoints that are in use
 	// are sent requests much more often.
 	forgetAfter = 10 * time.Minute
 )
--- a/core/limit/pool_test.go
+++ b/core/limit/pool_test.go
@@ -81,8 +81,8 @@
 	}
 }
 
-// The limits outlive a restart of all control hosts, from a snapshot, and a limit that nobody hears of any more is dropped on the far
-// side of its timer only.
+// The limits outlive a restart of all control hosts, from a snapshot, and a limit that is not reported any more is dropped after
+// forgetAfter, not before.
 func TestLimitsOutliveSnapshotsUntilForgotten(t *testing.T) {
 	now := ident.Time(time.Hour)
 	table := limit.NewTable()
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -137,7 +137,7 @@
 // IsQueued reports whether the request is in the queue.
 func (s *Site) IsQueued(item *Item) bool { return slices.Contains(s.Queue, item) }
 
-// Remove removes a request from the queue, if it is there.
+// Remove deletes a request from the queue; it does nothing if the request is not queued.
 func (s *Site) Remove(id ident.RequestID) {
 	i := slices.IndexFunc(s.Queue, func(item *Item) bool { return item.ID == id })
 	if i < 0 {
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -16,7 +16,7 @@
 // Part identifies a part of a prompt that several requests may share.
 type Part string
 
-// State tells what is done with requests whose prompt holds a part.
+// State defines how requests are handled whose prompt contains a part.
 type State uint8
 
 // The states of a part.
--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -55,7 +55,7 @@
 	maxFaults = 256
 )
 
-// path is what a host knows of its path to an endpoint.
+// path is the state of the path from this host to an endpoint.
 type path struct {
 	Target
 	lost      bool
@@ -66,7 +66,7 @@
 	usedAt    ident.Time
 }
 
-// service is what a host knows of its paths to the endpoints of a service.
+// service is the state of the paths from this host to the endpoints of a service.
 type service struct {
 	failed   map[ident.Instance]struct{} // endpoints that failed since the latest success at any endpoint
 	lost     bool
@@ -186,7 +186,7 @@
 	}
 }
 
-// Direct reports whether the host should connect to an endpoint by itself. hasOthers tells that another host could send for it.
+// Direct reports whether the host should connect to an endpoint by itself. hasOthers reports whether another host could send for it.
 func (m *Map) Direct(t Target, hasOthers bool) bool {
 	if v := m.services[t.Service]; hasOthers && v != nil && v.lost {
 		return false
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -106,7 +106,7 @@
 	}
 }
 
-// What a host knows of other services decides for one of which it knows at most one endpoint.
+// For a service with at most one known endpoint, the paths to the endpoints of other services decide.
 func TestHopelessByOtherServices(t *testing.T) {
 	lose := func(m *Map, s ident.Service) {
 		for n := range 2 {
--- a/core/resume/routes.go
+++ b/core/resume/routes.go
@@ -88,7 +88,7 @@
 	return RoutesSnapshot{Services: maps.Clone(b.services), Life: b.life}
 }
 
-// RestoreRoutes sets the state that a snapshot was taken from. One of an earlier release holds none; then the layout in force tells what is known.
+// RestoreRoutes sets the state that a snapshot was taken from. Snapshots of earlier releases hold none; the layout in force is used then.
 func (b *Builds) RestoreRoutes(s RoutesSnapshot, l *layout.Layout) {
 	maps.Copy(b.services, s.Services)
 	b.life = s.Life
--- a/core/world/claims_test.go
+++ b/core/world/claims_test.go
@@ -179,8 +179,7 @@
 	}
 }
 
-// A forwarded request that was delayed on its way, for example by a stalled connection, is rejected once its latest start
-// has passed.
+// A forwarded request that arrives after its latest start time, for example over a stalled connection, is rejected.
 func TestLateForwardedRequestIsRejected(t *testing.T) {
 	cases := map[string]struct {
 		ends int64 // wall-clock second (Unix) by which the request must start
--- a/fakes/probe/times.go
+++ b/fakes/probe/times.go
@@ -118,7 +118,7 @@
 	return false
 }
 
-// allEndpointsOwned reports whether each of the seven endpoints has an owner that serves and knows that it is the owner.
+// allEndpointsOwned reports whether each of the seven endpoints has a serving owner that is aware of its ownership.
 func allEndpointsOwned(f *vtime.Fleet) bool {
 	served := 0
 	for _, h := range f.Hosts {
--- a/io/cmds/failover_test.go
+++ b/io/cmds/failover_test.go
@@ -16,7 +16,7 @@
 	"shallotgap/io/admin"
 )
 
-// An operator's edit must get its answer while the first of the given hosts stands still or its answers are lost.
+// An operator's edit must be answered while the first of the given hosts hangs or its responses are lost.
 func TestEditWhileFirstHostStandsStill(t *testing.T) {
 	ended := make(chan struct{}) // a handler that has not read the body does not notice that the client has left
 	t.Cleanup(func() { close(ended) })
--- a/io/front/endpointlimit.go
+++ b/io/front/endpointlimit.go
@@ -12,7 +12,7 @@
 	"shallotgap/io/link"
 )
 
-// hostLimits is what an entry host knows of the limits of endpoints.
+// hostLimits holds the limits of endpoints that an entry host has seen.
 type hostLimits struct {
 	// table is the replicated table, as a control host last sent it; rank and hosts came with it.
 	table       *limit.Table
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -97,7 +97,7 @@
 	Greeting(i ident.Instance) *dial.Greeting
 	// Incoming returns the headers of an endpoint's response to forward to the caller.
 	Incoming(h http.Header) http.Header
-	// Said decodes what a response says of its endpoint, whatever the request was.
+	// Said decodes the state of its endpoint that a response reports, for any request.
 	Said(status int, h http.Header) heed.Said
 	// Verdict decodes the headers of a response to the request with the given id.
 	Verdict(id string, status int, h http.Header) Verdict
--- a/io/front/heed.go
+++ b/io/front/heed.go
@@ -14,7 +14,7 @@
 	"shallotgap/io/link"
 )
 
-// noteSaid records what an answer says of its endpoint, and tells the authority.
+// noteSaid records the endpoint state that an answer reports, and notifies the authority.
 func (ex *exchange) noteSaid(i ident.Instance, v Verdict, status, slots int) {
 	if v.Mismatched || (!v.IsBrittle && (!v.Authentic || status/100 != http.StatusOK/100)) {
 		return // only a success of its own ends what an endpoint said
@@ -65,7 +65,7 @@
 	return known && s.Engine != nil && f.shareOf(i, s.Engine.Slots, running)
 }
 
-// reportSaid tells the control hosts what an endpoint says of itself.
+// reportSaid sends the state that an endpoint reports to the control hosts.
 func (f *Front) reportSaid(t reach.Target, s heed.Said) {
 	if s.Leaving {
 		r := heed.Report{Instance: t.Instance, Service: t.Service, Leaving: true}
--- a/io/host/submit.go
+++ b/io/host/submit.go
@@ -73,8 +73,7 @@
 	return world.Asked{Index: res.Index, Record: res.Claim.Record}, nil
 }
 
-// queryClaim asks the leader that this host knows of for the record of a claim. That leader may have been replaced
-// meanwhile, so that its record may be outdated.
+// queryClaim asks the last known leader for the record of a claim. The record may be stale, as the leader may have been replaced.
 func (h *Host) queryClaim(ctx context.Context, n claim.Name) (world.Asked, error) {
 	t, reply := h.newTicket()
 	h.post(world.Event{Ask: &world.Question{Ticket: t, Name: n}})
--- a/io/link/message.go
+++ b/io/link/message.go
@@ -113,7 +113,7 @@
 	Written []poison.Part `json:"written,omitempty"`
 	// Limits are the limits of endpoints that this entry host knows.
 	Limits []limit.Seen `json:"limits,omitempty"`
-	// Crashes are the crashes of endpoints that this entry host knows of, and the requests under which they crashed.
+	// Crashes are the endpoint crashes known to this entry host, with the requests that were running.
 	Crashes []poison.Crash `json:"crashes,omitempty"`
 	// SendCounts holds, for each service, the first sends to engines and the retries within the window of the retry budget.
 	SendCounts map[ident.Service]grant.Sends `json:"sent,omitempty"`
@@ -145,8 +145,8 @@
 	List    []book.Newest `json:"list"`
 }
 
-// CrashReport tells that an endpoint crashed under requests of the sender. Control hosts pass it on to all entry hosts, also while no
-// host leads.
+// CrashReport reports that an endpoint crashed while it ran requests of the sender. Control hosts forward it to all entry hosts, with or
+// without a leader.
 type CrashReport struct {
 	poison.Crash
 	// Relayed is true for a report that a control host passed on.
--- a/io/link/slow_test.go
+++ b/io/link/slow_test.go
@@ -74,7 +74,7 @@
 	closed  chan struct{}
 }
 
-// Close ends a Write at once: virtual time stands still while the WebSocket waits for one under its lock.
+// Close aborts a pending Write: the WebSocket holds a lock while it waits for the Write, and virtual time does not advance meanwhile.
 func (c *slowConn) Close() error {
 	c.once.Do(func() { close(c.closed) })
 	return c.Conn.Close()
--- a/io/reach/gate.go
+++ b/io/reach/gate.go
@@ -19,7 +19,7 @@
 	Rest time.Duration
 }
 
-// Error tells what the endpoint said.
+// Error describes why the endpoint accepts no requests.
 func (e *HeldError) Error() string {
 	if e.Leaving {
 		return "the endpoint leaves"
@@ -70,7 +70,7 @@
 	c.onSaid = f
 }
 
-// note records what an answer says of its endpoint. own is true for an answer to a request that this host sent itself.
+// note records the endpoint state in a response. own is true if this host sent the request itself, not through a relay.
 func (c *Client) note(t reach.Target, status int, h http.Header, own bool) {
 	if c.Said == nil || status == http.StatusMisdirectedRequest { // another endpoint may listen at the address now
 		return
--- a/io/reach/reach.go
+++ b/io/reach/reach.go
@@ -35,7 +35,7 @@
 	Open, OpenHost dial.Opener
 	// Greeting returns the request that verifies that an instance of an engine serves a connection; nil if there is none.
 	Greeting func(ident.Instance) *dial.Greeting
-	// Said decodes what an answer says of its endpoint; nil if answers say nothing.
+	// Said decodes the endpoint state in a response; nil if responses carry none.
 	Said  func(status int, h http.Header) heed.Said
 	Meter *metric.Meter
 	// Memory bounds the answers that are held at a time; nil for no bound.
--- a/io/site/measure.go
+++ b/io/site/measure.go
@@ -15,7 +15,7 @@
 const (
 	// slowCall is a fraction of the 1 s after which operators and endpoints try another host.
 	slowCall = 250 * time.Millisecond
-	// pauseCheckInterval is how often the host checks whether its process stood still; a pause is logged from twice as long on.
+	// pauseCheckInterval is how often the host checks for pauses of its process; pauses of at least twice this length are logged.
 	pauseCheckInterval = 100 * time.Millisecond
 )
 
@@ -52,7 +52,7 @@
 	}
 }
 
-// watchPauses logs each time at which the process, or its whole machine, stood still.
+// watchPauses logs pauses of the process or of the whole machine.
 func (h *host) watchPauses(ctx context.Context) error {
 	tick := time.NewTicker(pauseCheckInterval)
 	defer tick.Stop()
--- a/io/voter/calls.go
+++ b/io/voter/calls.go
@@ -67,7 +67,7 @@
 	v.Follow(leader, now)
 }
 
-// announcedLeader is the leader by its own status. A host that is not in the log yet, as its disk is empty, hears of it that way first.
+// announcedLeader is the leader according to its own status message, by which a host with an empty disk finds it before it has joined the log.
 type announcedLeader struct {
 	host ident.HostID
 	term ident.Term
--- a/io/voter/relays.go
+++ b/io/voter/relays.go
@@ -66,7 +66,7 @@
 	return holders.Choose(o.Instance, direct, relays, now)
 }
 
-// gaugeHealth publishes what has been out of use for long; all is 0 on a host that does not lead.
+// gaugeHealth publishes the counts of Health as gauges; they are 0 on hosts that do not lead.
 func (v *Voter) gaugeHealth() {
 	var h grant.Health
 	if v.leadership != nil {
