--- a/io/dial/pool.go
+++ b/io/dial/pool.go
@@ -41,7 +41,8 @@
 	return c.newConn(raw), nil
 }
 
-// takeReturned returns a connection that another request has given back while one was opened in vain, or nil: the pool was empty before.
+// takeReturned returns an idle connection that another request put into the pool while a new connection failed to open, or nil. Older ones are
+// not in the pool, as acquire has tried them.
 func (c *Client) takeReturned(r Request, now ident.Time) *conn {
 	if r.MaxIdle < 0 {
 		return nil
--- a/scene/endless_test.go
+++ b/scene/endless_test.go
@@ -22,7 +22,8 @@
 	endlessCallers = 16
 	endlessTime    = 6 * time.Second
 	endlessPause   = 20 * time.Millisecond // between two parts of an answer, so that the test does not load the machine
-	// A host holds answers up to answer-bytes, as much garbage until the next collection, and as much on their way between hosts; ownBytes is the rest.
+	// The expected peak memory of a host is answerCopies x answer-bytes (live answers, garbage before the next collection, and buffers of links
+	// to other hosts) + ownBytes for everything else.
 	answerCopies = 3
 	ownBytes     = 64 << 20
 )
