--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -19,7 +19,17 @@
 // cases are the scripted cases by name; trouble is false for the run without the disruption.
 var cases = map[string]func(s *site, trouble bool) error{}
 
+// tools are stand-ins that run as processes of their own.
+var tools = map[string]func(args []string) error{}
+
 func main() {
+	if len(os.Args) > 1 && tools[os.Args[1]] != nil {
+		if err := tools[os.Args[1]](os.Args[2:]); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(exitNotRun)
+		}
+		return
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stage CASE FOLDER")
 		os.Exit(exitNotRun)
--- a/review/stage/standins.go
+++ b/review/stage/standins.go
@@ -60,13 +60,19 @@
 	stopped           chan struct{}
 	once              sync.Once
 	answer            func(w http.ResponseWriter, r *http.Request, body []byte) // nil for a small success
-	beatTo            func(n int) string                                        // where the nth heartbeat goes
+	// nodes are the control addresses that the replica calls, the first one first; nil for those of all machines in turn. The replica keeps
+	// its connections with them.
+	nodes  []string
+	client *http.Client
 }
 
 // newReplica starts a replica that listens at an address and announces itself.
-func newReplica(s *site, l *runs, service, id, zone, address string) (*replica, error) {
-	p := &replica{site: s, runs: l, service: service, id: id, zone: zone, address: address, born: time.Now().UnixMilli(), slots: 6, stopped: make(chan struct{})}
+func newReplica(s *site, l *runs, service, id, zone, address string, nodes ...string) (*replica, error) {
+	p := &replica{nodes: nodes, site: s, runs: l, service: service, id: id, zone: zone, address: address, born: time.Now().UnixMilli(), slots: 6, stopped: make(chan struct{})}
 	p.state.Store("ready")
+	if len(nodes) > 0 {
+		p.client = &http.Client{Timeout: time.Second, Transport: &http.Transport{}}
+	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -123,13 +129,23 @@
 	if err != nil {
 		return false
 	}
-	nodes := p.site.find("control")
-	for k := range nodes {
-		to := nodes[(n+k)%len(nodes)].at(portControl)
-		if p.beatTo != nil {
-			to = p.beatTo(n + k)
+	return p.callNodes(n, http.MethodPut, body)
+}
+
+// callNodes makes a call at one node after the other until one acknowledges it, and reports whether one did.
+func (p *replica) callNodes(n int, method string, body []byte) bool {
+	nodes, client := p.nodes, p.client
+	if nodes == nil {
+		for k, all := 0, p.site.find("control"); k < len(all); k++ {
+			nodes = append(nodes, all[(n+k)%len(all)].at(portControl))
+		}
+	}
+	for _, to := range nodes {
+		status, _ := callWith(client, method, "http://"+to+"/-/instances/"+p.id, body)
+		if method != http.MethodPut || status/100 != 2 {
+			p.site.record.note("replica %s (born %d) calls %s at %s: status %d", p.id, p.born, method, to, status)
 		}
-		if status, _ := call(http.MethodPut, "http://"+to+"/-/instances/"+p.id, body); status/100 == 2 {
+		if status/100 == 2 {
 			return true
 		}
 	}
@@ -144,12 +160,21 @@
 
 // call makes one call of the operator or of a replica, which ends after a second.
 func call(method, url string, body []byte) (int, []byte) {
+	return callWith(&http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}, method, url, body)
+}
+
+// callWith is like call, with the connections that a client keeps; nil for a new one.
+func callWith(client *http.Client, method, url string, body []byte) (int, []byte) {
+	if client == nil {
+		return call(method, url, body)
+	}
 	r, err := http.NewRequest(method, url, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
-	r.Header.Set("Content-Type", "application/json")
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	if len(body) > 0 {
+		r.Header.Set("Content-Type", "application/json")
+	}
 	resp, err := client.Do(r)
 	if err != nil {
 		return 0, nil
