--- a/review/stage/memory.go
+++ b/review/stage/memory.go
@@ -21,9 +21,9 @@
 	uploadBytes = 4194304 // maxBodyBytes
 	uploadWork  = 4 * time.Second
 	uploadLimit = 8 * time.Second // timeoutMs of the route
-	uploadRate  = 15              // requests a second over all fronts
-	burstFactor = 2.5
-	burstTime   = 4500 * time.Millisecond
+	uploadRate  = 22              // requests a second over all fronts
+	burstFactor = 1.7
+	burstTime   = 3 * time.Second
 )
 
 // memoryOf returns the memory of a process in bytes, as the kernel counts it.
