--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -241,6 +241,9 @@
 // Signal sends a signal to the process of a host.
 func (h *Host) Signal(s syscall.Signal) { _ = h.command.Process.Signal(s) }
 
+// Pid returns the process id.
+func (h *Host) Pid() int { return h.command.Process.Pid }
+
 // Kill ends the process of a host at once, and waits for that.
 func (h *Host) Kill() {
 	h.Signal(syscall.SIGCONT)
@@ -405,3 +408,13 @@
 		}
 	}
 }
+
+// ReadConfig reads the configuration once, at one of the hosts that serve control, and returns the status; 0 for no answer.
+func (r *Rig) ReadConfig(n int) int {
+	list := r.ControlAddresses()
+	status, _, err := r.call(http.MethodGet, "http://"+list[n%len(list)]+"/-/config", "")
+	if err != nil {
+		return 0
+	}
+	return status
+}
