--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -267,7 +267,7 @@
 // LogTail returns the last lines of the log of a host.
 func (r *Rig) LogTail(h *Host, lines int) []string {
 	data, _ := os.ReadFile(h.log.Name())
-	all := strings.Split(strings.TrimSpace(string(data)), "\n")
+	all := strings.Split(strings.TrimSpace(strings.ReplaceAll(string(data), r.Folder, "FOLDER")), "\n")
 	return all[max(0, len(all)-lines):]
 }
 
