--- a/review/rig3/proxy.go
+++ b/review/rig3/proxy.go
@@ -3,17 +3,23 @@
 package rig3
 
 import (
+	"fmt"
 	"net"
+	"os"
+	"path/filepath"
+	"strings"
 	"sync"
 )
 
-// Proxy passes the bytes of connections on, between the entry hosts and a replica. While it is cut, bytes and the ends of connections are held up,
-// as by a partition; they arrive when it is joined again.
+// Proxy passes the bytes of connections on, between the hosts and a replica. While a host is cut off, the bytes and the ends of its connections are
+// held up, as by a partition; they arrive when it is joined again. Connections of other hosts go on.
 type Proxy struct {
 	listener net.Listener
 	target   string
 	mu       sync.Mutex
-	joined   chan struct{} // closed while bytes pass
+	cut      *Host         // the host that is cut off; nil for none
+	joined   chan struct{} // closed while the bytes of all hosts pass
+	rig      *Rig
 }
 
 // NewProxy starts a proxy to a target address.
@@ -22,7 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, target: target, joined: make(chan struct{})}
+	p := &Proxy{listener: l, target: target, joined: make(chan struct{}), rig: r}
 	close(p.joined)
 	go func() {
 		for {
@@ -36,10 +42,11 @@
 	return p, nil
 }
 
-// Cut holds up all bytes from now on.
-func (p *Proxy) Cut() {
+// Cut holds up the bytes of a host's connections from now on.
+func (p *Proxy) Cut(h *Host) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.cut = h
 	p.joined = make(chan struct{})
 }
 
@@ -50,17 +57,55 @@
 	close(p.joined)
 }
 
-// await waits until bytes may pass.
-func (p *Proxy) await() {
+// await waits until the bytes of a host's connection may pass.
+func (p *Proxy) await(owner *Host) {
 	p.mu.Lock()
-	joined := p.joined
+	joined, held := p.joined, p.cut != nil && p.cut == owner
 	p.mu.Unlock()
-	<-joined
+	if held {
+		<-joined
+	}
+}
+
+// ownerOf returns the host whose process holds the other end of a connection, nil if that is none of the hosts.
+func (r *Rig) ownerOf(c net.Conn) *Host {
+	inode := inodeOf(c.RemoteAddr().(*net.TCPAddr), c.LocalAddr().(*net.TCPAddr))
+	if inode == "" {
+		return nil
+	}
+	for _, h := range r.All() {
+		links, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", h.Pid()))
+		for _, l := range links {
+			if target, err := os.Readlink(l); err == nil && target == "socket:["+inode+"]" {
+				return h
+			}
+		}
+	}
+	return nil
+}
+
+// inodeOf returns the number of a socket by its two addresses.
+func inodeOf(local, remote *net.TCPAddr) string {
+	data, _ := os.ReadFile("/proc/net/tcp")
+	want := hexAddress(local) + " " + hexAddress(remote)
+	for _, line := range strings.Split(string(data), "\n") {
+		if f := strings.Fields(line); len(f) > 9 && f[1]+" "+f[2] == want {
+			return f[9]
+		}
+	}
+	return ""
+}
+
+// hexAddress returns an address as the kernel's table of sockets has it on little-endian machines.
+func hexAddress(a *net.TCPAddr) string {
+	ip := a.IP.To4()
+	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], a.Port)
 }
 
 // serve passes the bytes of one connection on. A replica that does not listen resets the connection, as it would without a proxy.
 func (p *Proxy) serve(c net.Conn) {
-	p.await()
+	owner := p.rig.ownerOf(c)
+	p.await(owner)
 	s, err := net.Dial("tcp", p.target)
 	if err != nil {
 		_ = c.(*net.TCPConn).SetLinger(0)
@@ -68,18 +113,18 @@
 		return
 	}
 	var done sync.WaitGroup
-	done.Go(func() { p.pass(s.(*net.TCPConn), c.(*net.TCPConn)) })
-	done.Go(func() { p.pass(c.(*net.TCPConn), s.(*net.TCPConn)) })
+	done.Go(func() { p.pass(owner, s.(*net.TCPConn), c.(*net.TCPConn)) })
+	done.Go(func() { p.pass(owner, c.(*net.TCPConn), s.(*net.TCPConn)) })
 	done.Wait()
 	_, _ = c.Close(), s.Close()
 }
 
 // pass passes the bytes of one direction on, and then its end: a reset as a reset, another end as such.
-func (p *Proxy) pass(from, to *net.TCPConn) {
+func (p *Proxy) pass(owner *Host, from, to *net.TCPConn) {
 	buf := make([]byte, 4<<10)
 	for {
 		n, err := from.Read(buf)
-		p.await()
+		p.await(owner)
 		if n > 0 {
 			if _, writeErr := to.Write(buf[:n]); writeErr != nil {
 				_ = from.SetLinger(0)
--- a/review/rig3/replica.go
+++ b/review/rig3/replica.go
@@ -314,3 +314,12 @@
 	s.count++
 	return s.count - 1
 }
+
+// AnswerWithLength writes a whole answer that tells its length.
+func AnswerWithLength(s *Server, c net.Conn, id, body string) {
+	mediaType := "application/octet-stream"
+	if s.Engine {
+		mediaType = "text/event-stream"
+	}
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nShallotgap-Request-Id: "+id+"\r\nShallotgap-Server-Stamp: "+s.Stamp(id)+"\r\nContent-Type: "+mediaType+fmt.Sprintf("\r\nContent-Length: %d\r\nConnection: close\r\n\r\n", len(body))+body)
+}
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -82,7 +82,7 @@
 	version                  int
 }
 
-const entryHosts = 3
+const entryHosts = 4
 
 // New starts the system with empty disks.
 func New(record *Record, root string) (*Rig, error) {
