--- a/review/rig3/replica.go
+++ b/review/rig3/replica.go
@@ -105,18 +105,6 @@
 	}
 }
 
-// Ran reports whether the replica began to run a request.
-func (x *Replica) Ran(id string) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	for _, y := range x.runs {
-		if y == id {
-			return true
-		}
-	}
-	return false
-}
-
 // Tell writes a line to the replica.
 func (x *Replica) Tell(line string) { _, _ = io.WriteString(x.input, line+"\n") }
 
@@ -147,7 +135,6 @@
 	state                      string
 	remaining                  time.Time
 	told                       map[string]bool
-	count                      int
 }
 
 // Say writes a line to the parent process.
@@ -307,14 +294,6 @@
 	x.runs = nil
 }
 
-// Count counts the calls of Count, from 0.
-func (s *Server) Count() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.count++
-	return s.count - 1
-}
-
 // AnswerWithLength writes a whole answer that tells its length.
 func AnswerWithLength(s *Server, c net.Conn, id, body string) {
 	mediaType := "application/octet-stream"
